--- /dev/null
+++ b/ploverport/src/clock.rs
@@ -0,0 +1,61 @@
+//! Time: whole microseconds on the monotonic clock, counted from the start of the program.
+
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// A moment on the program's clock, or a span of it, in microseconds.
+pub type Micros = u64;
+
+/// Microseconds in a millisecond.
+pub const MILLI: Micros = 1000;
+
+/// The program's clock. Copies tell the same time.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    origin: Instant,
+    /// Unix time at the origin, in milliseconds.
+    unix_origin: i64,
+}
+
+impl Clock {
+    /// A clock that starts at zero now.
+    pub fn start() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { origin: Instant::now(), unix_origin: unix.as_millis() as i64 }
+    }
+    /// The time now.
+    pub fn now(&self) -> Micros {
+        self.origin.elapsed().as_micros() as Micros
+    }
+    /// The instant of a moment, for timers.
+    pub fn instant(&self, at: Micros) -> Instant {
+        self.origin + Duration::from_micros(at)
+    }
+    /// A Unix time in milliseconds on this clock: negative if before the start.
+    pub fn of_unix_ms(&self, unix_ms: i64) -> i64 {
+        unix_ms.saturating_sub(self.unix_origin).saturating_mul(MILLI as i64)
+    }
+}
+
+/// A span given in milliseconds.
+pub fn millis(ms: f64) -> Micros {
+    (ms.max(0.0) * MILLI as f64).round() as Micros
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn unix_times_map_to_the_origin() {
+        let clock = Clock { origin: Instant::now(), unix_origin: 1_000_000 };
+        assert_eq!(clock.of_unix_ms(1_000_250), 250_000);
+        assert_eq!(clock.of_unix_ms(999_000), -1_000_000);
+        assert_eq!(clock.of_unix_ms(i64::MIN), i64::MIN);
+    }
+
+    #[test]
+    fn spans_round_to_whole_microseconds() {
+        assert_eq!(millis(1.2345), 1235);
+        assert_eq!(millis(-3.0), 0);
+    }
+}
--- /dev/null
+++ b/ploverport/src/config.rs
@@ -0,0 +1,145 @@
+//! The one place where the environment and the configuration file are read, checked and given defaults.
+
+use crate::clock::{Micros, millis};
+use crate::discovery::Targets;
+use brookbend::api::Settings;
+use brookbend::settings::{self, Message};
+use serde_json::Value;
+use std::net::SocketAddr;
+
+/// Sockets where the configuration names no limit: the least that deployments give.
+const SOCKETS: u64 = 1024;
+/// Most descriptors that are neither a client's nor a data server's connection: listener, discovery, the event
+/// queue, signals, standard streams, and connections that are just being refused.
+const OWN_SOCKETS: u64 = 32;
+/// The least descriptors to serve with.
+const LEAST_SOCKETS: u64 = 64;
+/// What the settings leave out: figures that are harmless where a deployment says nothing.
+const DIAL_TIMEOUT_MS: f64 = 250.0;
+const KEEPALIVE_MS: f64 = 15_000.0;
+const MULTIPLEX: u64 = 100;
+const MAX_OPEN: u64 = 256;
+
+/// Names that requests use for what the settings number.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    /// The classes.
+    pub classes: Vec<String>,
+    /// The tenants.
+    pub tenants: Vec<String>,
+    /// The zones.
+    pub zones: Vec<String>,
+}
+
+/// Everything that the program is told at its start, checked.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// The broker's name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery is.
+    pub discovery: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// What the decisions are told.
+    pub settings: Settings,
+    /// Names in requests.
+    pub names: Names,
+    /// The list of data servers as last known.
+    pub known: Targets,
+    /// Most queries and parts in hand.
+    pub max_open: usize,
+    /// Most client connections.
+    pub client_sockets: usize,
+    /// The limits for connections to data servers.
+    pub pool: PoolLimits,
+}
+
+/// Limits for connections to data servers.
+#[derive(Clone, Copy, Debug)]
+pub struct PoolLimits {
+    /// Most connections.
+    pub sockets: usize,
+    /// Most parts in a call.
+    pub batch: usize,
+    /// Most parts on a connection.
+    pub multiplex: usize,
+    /// A connection must be up within this time.
+    pub dial_timeout: Micros,
+    /// Servers close connections that are idle for this long.
+    pub keepalive: Micros,
+}
+
+/// Reads the configuration of this process. The error is the line to print; it names the faulty key.
+pub fn read(env: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+    let path = env("RELAY_CONFIG").ok_or("RELAY_CONFIG is not set")?;
+    let text = std::fs::read(&path).map_err(|e| format!("RELAY_CONFIG: {path} cannot be read: {e}"))?;
+    let value =
+        serde_json::from_slice(&text).map_err(|e| format!("RELAY_CONFIG: {path} is not JSON: {e}"))?;
+    check(&value, env)
+}
+
+/// Checks a configuration. What the environment names goes before the file.
+pub fn check(value: &Value, env: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+    let fields = value.as_object().ok_or("RELAY_CONFIG: it is not an object")?;
+    let m = Message::new("RELAY_CONFIG", fields);
+    let text = |variable: &str, field: &str| match env(variable) {
+        Some(text) => Ok(text),
+        None => m.text(field).map(str::to_owned),
+    };
+    let address = |variable: &str, field: &str| -> Result<SocketAddr, String> {
+        let text = text(variable, field)?;
+        text.parse()
+            .map_err(|_| format!("{variable} (field {field}): {text:?} is not an address with a port"))
+    };
+    let seed = m.text("seed")?;
+    let seed = u64::from_str_radix(seed, 16).or_else(|_| m.bad("seed", "is not 16 hex digits"))?;
+    let env = m.inner("settings")?;
+    let site = settings::decode(&env)?;
+    if site.class_names.is_empty() || site.class_names.iter().any(String::is_empty) {
+        return env.bad("Services", "is empty or holds a class without a name");
+    }
+    if site.settings.classes.iter().any(|c| c.second_step) {
+        return env.bad("FamilyInfo", "asks for a second step (FetchParts), which the protocol cannot carry");
+    }
+    for (field, figure) in
+        [("Positions", site.settings.cells), ("Shards", site.settings.shards), ("Batch", site.settings.batch)]
+    {
+        if !(1..=1_000_000).contains(&figure) {
+            return env.inner("FamilyInfo")?.bad(field, "is out of bounds");
+        }
+    }
+    if !(site.settings.tick > 0.0 && site.settings.tick <= 1000.0) {
+        return env.bad("Tick", "is out of bounds");
+    }
+    let sockets = match m.get("limits") {
+        Some(_) => m.inner("limits")?.opt_whole("sockets")?.unwrap_or(SOCKETS),
+        None => SOCKETS,
+    };
+    if sockets < LEAST_SOCKETS {
+        return m.inner("limits")?.bad("sockets", "is too small to serve with");
+    }
+    let shared = sockets.min(SOCKETS) - OWN_SOCKETS;
+    let known = m.get("known").ok_or("RELAY_CONFIG: field known is missing")?;
+    let known: Targets =
+        serde_json::from_value(known.clone()).map_err(|e| format!("RELAY_CONFIG: field known: {e}"))?;
+    Ok(Config {
+        name: text("RELAY_NAME", "name")?,
+        listen: address("RELAY_LISTEN", "listen")?,
+        discovery: address("RELAY_DISCOVERY", "discovery")?,
+        seed,
+        known,
+        max_open: site.max_open.unwrap_or(MAX_OPEN) as usize,
+        client_sockets: (shared * 2 / 3) as usize,
+        pool: PoolLimits {
+            sockets: (shared / 3) as usize,
+            batch: site.settings.batch,
+            multiplex: (site.multiplex.unwrap_or(MULTIPLEX) as usize).max(site.settings.batch),
+            dial_timeout: millis(site.dial_timeout.unwrap_or(DIAL_TIMEOUT_MS)),
+            keepalive: millis(site.keepalive.unwrap_or(KEEPALIVE_MS)),
+        },
+        names: Names { classes: site.class_names, tenants: site.tenant_names, zones: site.zones },
+        settings: site.settings,
+    })
+}
--- /dev/null
+++ b/ploverport/src/core.rs
@@ -0,0 +1,361 @@
+//! The facade of the decisions, in blocking style: hand in what a turn brought, carry out what comes back.
+//!
+//! It knows no protocol. Queries, parts and servers are numbers and names here, so any front can go through the
+//! same decisions and rules. It alone sees the module's events and actions, and it alone counts what is open:
+//! a query enters in [`Core::pick`] and leaves with its one [`Final`] or in [`Core::leave`].
+
+use crate::clock::{MILLI, Micros, millis};
+use brookbend::Aggregator;
+use brookbend::api::{Action, ClassIndex, Event, ListKind, Member, Part, RequestId, Settings, TenantIndex};
+use brookbend::room::no_room_advice;
+use std::collections::{BTreeMap, BTreeSet};
+
+pub use brookbend::api::{NodeId, NodeState, Outcome};
+
+/// Number of a query, never used twice.
+pub type QueryId = u64;
+
+/// One attempt at a part of a query.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct AttemptId {
+    /// The query.
+    pub query: QueryId,
+    /// The part's place among the query's parts.
+    pub part: usize,
+    /// Which attempt at the part, from 0.
+    pub attempt: u32,
+}
+
+/// A query that wants answers from its shards.
+#[derive(Clone, Debug)]
+pub struct Query {
+    /// Its number.
+    pub id: QueryId,
+    /// Index of its class.
+    pub class: usize,
+    /// Index of its tenant.
+    pub tenant: usize,
+    /// When its client gives up.
+    pub give_up_at: Micros,
+    /// Whether its client marked it as a repeat.
+    pub again: bool,
+    /// Its parts.
+    pub parts: Vec<PartSpec>,
+}
+
+/// What the decisions need to know of a part.
+#[derive(Clone, Debug)]
+pub struct PartSpec {
+    /// Its shard.
+    pub shard: usize,
+    /// Its share of the whole answer.
+    pub weight: f64,
+    /// A guess at the work in it.
+    pub hint: Option<Micros>,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Debug)]
+pub struct Report {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// Time since it was dispatched.
+    pub elapsed: Micros,
+    /// How much the server said it holds.
+    pub load: Option<f64>,
+}
+
+/// A server as the list shows it.
+#[derive(Clone, Debug)]
+pub struct ServerInfo {
+    /// Its name.
+    pub name: NodeId,
+    /// Its cell.
+    pub cell: usize,
+    /// Its state.
+    pub state: NodeState,
+    /// Index of its zone.
+    pub zone: Option<usize>,
+    /// When its process last started, perhaps before this program; `None`: long ago.
+    pub started: Option<i64>,
+}
+
+/// What a list of servers is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListScope {
+    /// The whole list as last known, perhaps old.
+    Known,
+    /// The whole list.
+    Whole,
+    /// Changed entries.
+    Changes,
+}
+
+/// An attempt to send.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Dispatch {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// Where to.
+    pub server: NodeId,
+    /// When to stop waiting for it.
+    pub until: Micros,
+}
+
+/// How a query ends.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Verdict {
+    /// Answer from the parts that are in.
+    Answer {
+        /// Whether the answer is whole.
+        whole: bool,
+    },
+    /// Not served; trying again is harmless.
+    Refuse {
+        /// When to come back.
+        retry_after: Option<Micros>,
+    },
+    /// Not served, promising nothing.
+    Fail,
+}
+
+/// The one final answer of a query.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Final {
+    /// The query.
+    pub query: QueryId,
+    /// How it ends.
+    pub verdict: Verdict,
+}
+
+/// What is to be done, in the order give up, finish, dispatch.
+#[derive(Debug, Default, PartialEq)]
+pub struct Decisions {
+    /// Attempts to stop waiting for. Each still gets its report.
+    pub give_up: Vec<AttemptId>,
+    /// Final answers to give at once.
+    pub finals: Vec<Final>,
+    /// Attempts to send.
+    pub dispatches: Vec<Dispatch>,
+}
+
+struct Open {
+    /// Attempts dispatched so far, by part: the module numbers them by their order alone.
+    attempts: Vec<u32>,
+    give_up_at: Micros,
+}
+
+/// The decisions, and what they have in hand.
+pub struct Core {
+    aggregator: Aggregator,
+    settings: Settings,
+    max_open: usize,
+    /// Queries and parts in hand.
+    held: usize,
+    open: BTreeMap<QueryId, Open>,
+    /// The open queries by the time at which their clients give up.
+    ends: BTreeSet<(Micros, QueryId)>,
+    /// Events that go in with the next call.
+    staged: Vec<Event>,
+    wake_at: Option<Micros>,
+}
+
+impl Core {
+    /// A core that may hold so many queries and parts.
+    pub fn new(settings: Settings, max_open: usize, seed: u64) -> Self {
+        Core {
+            aggregator: Aggregator::new(settings.clone(), seed),
+            settings,
+            max_open,
+            held: 0,
+            open: BTreeMap::new(),
+            ends: BTreeSet::new(),
+            staged: Vec::new(),
+            wake_at: Some(0),
+        }
+    }
+
+    /// Takes news of the list of servers. It counts from the next call on.
+    pub fn learn(&mut self, scope: ListScope, servers: Vec<ServerInfo>) {
+        let kind = match scope {
+            ListScope::Known => ListKind::Disk,
+            ListScope::Whole => ListKind::Complete,
+            ListScope::Changes => ListKind::Changes,
+        };
+        let member = |s: ServerInfo| Member {
+            node: s.name,
+            cell: s.cell,
+            state: s.state,
+            zone: s.zone,
+            started: s.started.map(|at| at as f64 / MILLI as f64),
+        };
+        self.staged.push(Event::List { kind, members: servers.into_iter().map(member).collect() });
+    }
+
+    /// The query's client has gone away: nothing more is owed.
+    pub fn leave(&mut self, query: QueryId) {
+        if self.close(query) {
+            self.staged.push(Event::Gone(query_name(query)));
+        }
+    }
+
+    /// Takes the attempts that ended.
+    pub fn report(&mut self, now: Micros, reports: Vec<Report>) -> Decisions {
+        if reports.is_empty() {
+            return Decisions::default();
+        }
+        self.staged.extend(reports.into_iter().map(|r| Event::Ended {
+            part: part_name(r.attempt.query, r.attempt.part),
+            attempt: r.attempt.attempt,
+            outcome: r.outcome,
+            elapsed: to_ms(r.elapsed),
+            load: r.load,
+        }));
+        self.run(now)
+    }
+
+    /// Takes the queries that came. One that there is no room for is refused before the decisions see it.
+    pub fn pick(&mut self, now: Micros, queries: Vec<Query>) -> Decisions {
+        if queries.is_empty() {
+            return Decisions::default();
+        }
+        let mut refused = Vec::new();
+        for q in queries {
+            let needs = 1 + q.parts.len();
+            if self.held + needs > self.max_open {
+                let retry_after = no_room_advice(&self.settings, q.class).map(millis);
+                refused.push(Final { query: q.id, verdict: Verdict::Refuse { retry_after } });
+                continue;
+            }
+            self.held += needs;
+            self.ends.insert((q.give_up_at, q.id));
+            self.open.insert(q.id, Open { attempts: vec![0; q.parts.len()], give_up_at: q.give_up_at });
+            self.staged.push(Event::Query(brookbend::api::Query {
+                id: query_name(q.id),
+                group: q.id,
+                class: ClassIndex(q.class),
+                tenant: TenantIndex(q.tenant),
+                give_up_at: to_ms(q.give_up_at),
+                again: q.again,
+            }));
+            self.staged.extend(q.parts.iter().enumerate().map(|(i, p)| {
+                Event::Part(Part {
+                    id: part_name(q.id, i),
+                    group: q.id,
+                    shard: p.shard,
+                    weight: p.weight,
+                    work_hint: p.hint.map(to_ms),
+                })
+            }));
+        }
+        let mut decisions = self.run(now);
+        decisions.finals.extend(refused);
+        decisions
+    }
+
+    /// Ends the turn: wakes the decisions where they asked for it, and fails what is about to run out of time.
+    pub fn tick(&mut self, now: Micros) -> Decisions {
+        let mut decisions = Decisions::default();
+        if self.wake_at.take_if(|at| now >= *at).is_some() {
+            self.staged.push(Event::Woken);
+        }
+        if !self.staged.is_empty() {
+            decisions = self.run(now);
+        }
+        // Guards against a module that says nothing: what a broker took gets its answer before its time is up.
+        let last = now + millis(self.settings.tick);
+        while let Some(&(_, query)) = self.ends.first().filter(|(at, _)| *at <= last) {
+            self.leave(query);
+            decisions.finals.push(Final { query, verdict: Verdict::Fail });
+        }
+        decisions
+    }
+
+    /// When [`Core::tick`] is due.
+    pub fn due(&self) -> Micros {
+        let margin = millis(self.settings.tick);
+        let end = self.ends.first().map(|(at, _)| at.saturating_sub(margin));
+        let wake = if self.staged.is_empty() { self.wake_at } else { Some(0) };
+        [end, wake].into_iter().flatten().min().unwrap_or(Micros::MAX)
+    }
+
+    /// Queries and parts in hand.
+    pub fn held(&self) -> usize {
+        self.held
+    }
+
+    /// The one place where a query is given back. True if it was open.
+    fn close(&mut self, query: QueryId) -> bool {
+        let Some(open) = self.open.remove(&query) else { return false };
+        self.held -= 1 + open.attempts.len();
+        self.ends.remove(&(open.give_up_at, query));
+        true
+    }
+
+    fn run(&mut self, now: Micros) -> Decisions {
+        let mut decisions = Decisions::default();
+        let events = std::mem::take(&mut self.staged);
+        for action in self.aggregator.on_batch(to_ms(now), events) {
+            match action {
+                Action::Send { part, node, within } => {
+                    let Some(attempt) = self.next_attempt(&part) else { continue };
+                    let give_up_at = self.open.get(&attempt.query).map_or(now, |open| open.give_up_at);
+                    let until = within.map_or(give_up_at, |ms| give_up_at.min(now + millis(ms)));
+                    decisions.dispatches.push(Dispatch { attempt, server: node, until });
+                }
+                Action::Cancel { part, attempt } => {
+                    if let Some((query, part)) = parse_part(&part) {
+                        decisions.give_up.push(AttemptId { query, part, attempt });
+                    }
+                }
+                Action::Answer { query, whole } => {
+                    self.finish(&mut decisions, &query, Verdict::Answer { whole });
+                }
+                Action::Refuse { query, retry_after } => {
+                    let retry_after = retry_after.map(millis);
+                    self.finish(&mut decisions, &query, Verdict::Refuse { retry_after });
+                }
+                Action::Fail { query } => self.finish(&mut decisions, &query, Verdict::Fail),
+                Action::Wake { after } => self.wake_at = Some(now + millis(after)),
+                // Brokers share only the network, and the list is always watched.
+                Action::Tell { .. } | Action::Watch => {}
+            }
+        }
+        decisions
+    }
+
+    fn finish(&mut self, decisions: &mut Decisions, query: &RequestId, verdict: Verdict) {
+        if let Some(query) = query.0.parse().ok().filter(|query| self.close(*query)) {
+            decisions.finals.push(Final { query, verdict });
+        }
+    }
+
+    /// The attempt that the module starts with a send for this part.
+    fn next_attempt(&mut self, part: &RequestId) -> Option<AttemptId> {
+        let (query, part) = parse_part(part)?;
+        let attempts = self.open.get_mut(&query)?.attempts.get_mut(part)?;
+        *attempts += 1;
+        Some(AttemptId { query, part, attempt: *attempts - 1 })
+    }
+}
+
+/// The module's milliseconds: the one place where time leaves whole microseconds.
+fn to_ms(time: Micros) -> f64 {
+    time as f64 / MILLI as f64
+}
+
+/// The module orders its work by name, so that numbers are padded: queries then come in the order of arrival.
+fn query_name(query: QueryId) -> RequestId {
+    RequestId(format!("{query:020}").into())
+}
+
+fn part_name(query: QueryId, part: usize) -> RequestId {
+    RequestId(format!("{query:020}.{part:03}").into())
+}
+
+fn parse_part(name: &RequestId) -> Option<(QueryId, usize)> {
+    let (query, part) = name.0.split_once('.')?;
+    Some((query.parse().ok()?, part.parse().ok()?))
+}
--- /dev/null
+++ b/ploverport/src/discovery.rs
@@ -0,0 +1,159 @@
+//! The list of data servers: begins with what the configuration knows, then watches discovery.
+
+use crate::clock::Clock;
+use crate::core::{ListScope, NodeId, NodeState, ServerInfo};
+use crate::http::{self, Decoded};
+use crate::inbox::{Inbox, Input};
+use crate::log;
+use async_io::{Async, Timer};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use serde::Deserialize;
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// How long a watch may wait. Shorter than the protocol allows: a dead connection is noticed sooner.
+const WAIT: Duration = Duration::from_secs(10);
+/// How much longer its answer may take.
+const GRACE: Duration = Duration::from_secs(1);
+/// First and longest wait after a failure. The first is well under the 200 ms that a watch may pause.
+const BACK_OFF: (Duration, Duration) = (Duration::from_millis(20), Duration::from_secs(1));
+
+/// A list, or changes of it, as discovery sends it.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Targets {
+    /// The list's version.
+    pub rev: u64,
+    /// Whether it is the whole list.
+    pub all: bool,
+    /// The entries.
+    pub targets: Vec<Target>,
+}
+
+/// One data server.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Target {
+    /// Its name.
+    pub uid: String,
+    /// Where it listens, as this broker sees it.
+    pub endpoint: SocketAddr,
+    /// Its zone.
+    #[serde(default)]
+    pub az: String,
+    /// Its cell.
+    #[serde(default)]
+    pub pod_group: usize,
+    /// Its state.
+    pub state: TargetState,
+    /// When it last started, in Unix milliseconds; 0: long ago.
+    #[serde(default)]
+    pub boot_ms: f64,
+}
+
+/// State of a data server.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "lowercase")]
+pub enum TargetState {
+    /// It serves.
+    Active,
+    /// It finishes what it has.
+    Leaving,
+    /// It has been removed.
+    Left,
+}
+
+impl Targets {
+    /// What the list is to the decisions.
+    pub fn scope(&self) -> ListScope {
+        if self.all { ListScope::Whole } else { ListScope::Changes }
+    }
+    /// The entries as the decisions see them.
+    pub fn servers(&self, zones: &[String], clock: Clock) -> Vec<ServerInfo> {
+        let server = |t: &Target| ServerInfo {
+            name: NodeId(t.uid.as_str().into()),
+            cell: t.pod_group,
+            state: match t.state {
+                TargetState::Active => NodeState::Serving,
+                TargetState::Leaving => NodeState::Draining,
+                TargetState::Left => NodeState::Gone,
+            },
+            zone: zones.iter().position(|z| *z == t.az),
+            started: (t.boot_ms > 0.0).then(|| clock.of_unix_ms(t.boot_ms as i64)),
+        };
+        self.targets.iter().map(server).collect()
+    }
+}
+
+/// Watches for ever. A list that cannot be had or read leaves the last one in force.
+pub async fn watch(discovery: SocketAddr, mut rev: u64, inbox: Rc<Inbox>) {
+    let mut back_off = BACK_OFF.0;
+    loop {
+        let error = match session(discovery, &mut rev, &mut back_off, &inbox).await {
+            Ok(()) => continue, // closed between two answers, as a server may
+            Err(error) => error,
+        };
+        log::warn("discovery_failed", &[("error", &error), ("rev", &rev)]);
+        Timer::after(back_off).await;
+        back_off = (back_off * 2).min(BACK_OFF.1);
+    }
+}
+
+/// Watches over one connection until that ends.
+async fn session(
+    discovery: SocketAddr,
+    rev: &mut u64,
+    back_off: &mut Duration,
+    inbox: &Inbox,
+) -> io::Result<()> {
+    let mut stream = limited(GRACE, Async::<TcpStream>::connect(discovery)).await?;
+    stream.get_ref().set_nodelay(true)?;
+    let mut input = Vec::new();
+    loop {
+        let wait = WAIT.as_millis();
+        let called = Instant::now();
+        let call = format!("GET /api/targets?index={rev}&wait={wait} HTTP/1.1\r\nHost: {discovery}\r\n\r\n");
+        stream.write_all(call.as_bytes()).await?;
+        let message = limited(WAIT + GRACE, answer(&mut stream, &mut input)).await?;
+        if message.status != 200 {
+            return Err(io::Error::other(format!("status {}", message.status)));
+        }
+        let targets: Targets = serde_json::from_slice(&message.body).map_err(io::Error::other)?;
+        *rev = targets.rev;
+        *back_off = BACK_OFF.0;
+        if targets.all || !targets.targets.is_empty() {
+            inbox.put(Input::Targets(targets));
+        } else if called.elapsed() < WAIT / 2 {
+            // An empty answer before its time: asked again at once, such a server would cost the whole core.
+            Timer::after(BACK_OFF.0).await;
+        }
+        if !message.keep_alive {
+            return Ok(());
+        }
+    }
+}
+
+async fn answer(stream: &mut Async<TcpStream>, input: &mut Vec<u8>) -> io::Result<http::Message> {
+    let mut chunk = [0; 8192];
+    loop {
+        match http::answer(input).map_err(|bad| io::Error::other(bad.why))? {
+            Decoded::Whole(message, length) => {
+                input.drain(..length);
+                return Ok(message);
+            }
+            Decoded::Partial(_) => match stream.read(&mut chunk).await? {
+                0 => return Err(io::ErrorKind::UnexpectedEof.into()),
+                n => input.extend(&chunk[..n]),
+            },
+        }
+    }
+}
+
+/// Ends a wait with an error once its time is over.
+pub async fn limited<T>(time: Duration, work: impl Future<Output = io::Result<T>>) -> io::Result<T> {
+    let late = async {
+        Timer::after(time).await;
+        Err(io::ErrorKind::TimedOut.into())
+    };
+    work.or(late).await
+}
--- /dev/null
+++ b/ploverport/src/upstream/line.rs
@@ -0,0 +1,161 @@
+//! One connection to a data server: what waits to be written, and the task that writes and reads.
+
+use super::frame::{self, FromServer, PartLine};
+use crate::clock::Micros;
+use crate::discovery::limited;
+use crate::inbox::{Inbox, Input};
+use async_channel::{Receiver, Sender};
+use async_io::Async;
+use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use std::cell::RefCell;
+use std::collections::{BTreeSet, VecDeque};
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// News of a connection.
+pub enum LineEvent {
+    /// A frame has come.
+    Frame(FromServer),
+    /// The connection has ended or never came up.
+    Down(String),
+}
+
+/// One part, ready for its frame.
+pub(super) struct Outgoing {
+    pub(super) wire: String,
+    pub(super) shard: usize,
+    pub(super) wait_ms: u64,
+    pub(super) key: Option<Rc<str>>,
+    pub(super) text: Rc<str>,
+}
+
+/// What a connection is to write.
+pub(super) enum Item {
+    /// One call.
+    Call(Vec<Outgoing>),
+    /// A part's giving up.
+    GiveUp(String),
+}
+
+/// What waits to be written to one connection.
+pub(super) struct Line {
+    waiting: RefCell<VecDeque<Item>>,
+    /// The parts of the frame that is being written.
+    writing: RefCell<Vec<String>>,
+    bell: (Sender<()>, Receiver<()>),
+}
+
+impl Default for Line {
+    fn default() -> Self {
+        let bell = async_channel::bounded(1);
+        Line { waiting: RefCell::default(), writing: RefCell::default(), bell }
+    }
+}
+
+impl Line {
+    pub(super) fn put(&self, item: Item) {
+        self.waiting.borrow_mut().push_back(item);
+        let _ = self.bell.0.try_send(());
+    }
+
+    /// Takes back a part of which no byte is written. False if it is too late.
+    pub(super) fn withdraw(&self, wire: &str) -> bool {
+        let mut taken = false;
+        self.waiting.borrow_mut().retain_mut(|item| match item {
+            Item::Call(parts) => {
+                let before = parts.len();
+                parts.retain(|p| p.wire != wire);
+                taken |= parts.len() < before;
+                !parts.is_empty()
+            }
+            Item::GiveUp(_) => true,
+        });
+        taken
+    }
+
+    /// Takes back all parts of which no byte is written.
+    pub(super) fn withdraw_all(&self) -> Vec<String> {
+        let mut taken = Vec::new();
+        self.waiting.borrow_mut().retain_mut(|item| match item {
+            Item::Call(parts) => {
+                taken.extend(parts.drain(..).map(|p| p.wire));
+                false
+            }
+            Item::GiveUp(_) => true,
+        });
+        taken
+    }
+
+    /// The parts whose frame's last byte is not written.
+    pub(super) fn unwritten(&self) -> BTreeSet<String> {
+        let waiting = self.waiting.borrow();
+        let parts = waiting.iter().flat_map(|item| match item {
+            Item::Call(parts) => parts.as_slice(),
+            Item::GiveUp(_) => &[],
+        });
+        parts.map(|p| p.wire.clone()).chain(self.writing.borrow().iter().cloned()).collect()
+    }
+
+    /// The next frame to write.
+    async fn next(&self) -> Vec<u8> {
+        loop {
+            if let Some(item) = self.waiting.borrow_mut().pop_front() {
+                return match item {
+                    Item::GiveUp(wire) => frame::give_up(&wire),
+                    Item::Call(parts) => {
+                        *self.writing.borrow_mut() = parts.iter().map(|p| p.wire.clone()).collect();
+                        frame::call(parts.iter().map(|p| PartLine {
+                            id: &p.wire,
+                            shard: p.shard,
+                            wait_ms: p.wait_ms,
+                            key: p.key.as_deref(),
+                            text: &p.text,
+                        }))
+                    }
+                };
+            }
+            let _ = self.bell.1.recv().await;
+        }
+    }
+}
+
+/// Dials, writes and reads until the connection ends, then says so.
+pub(super) async fn run(id: u64, endpoint: SocketAddr, dial: Micros, line: Rc<Line>, inbox: Rc<Inbox>) {
+    let result = match limited(Duration::from_micros(dial), Async::<TcpStream>::connect(endpoint)).await {
+        Ok(stream) => write(&stream, &line).or(read(&stream, id, &inbox)).await,
+        Err(error) => Err(error),
+    };
+    let why = result.err().map_or_else(|| "closed".to_owned(), |e| e.to_string());
+    inbox.put(Input::Line(id, LineEvent::Down(why)));
+}
+
+async fn write(mut stream: &Async<TcpStream>, line: &Line) -> io::Result<()> {
+    stream.get_ref().set_nodelay(true)?;
+    loop {
+        let frame = line.next().await;
+        stream.write_all(&frame).await?;
+        line.writing.borrow_mut().clear();
+    }
+}
+
+async fn read(mut stream: &Async<TcpStream>, id: u64, inbox: &Inbox) -> io::Result<()> {
+    let mut input = Vec::new();
+    let mut chunk = [0; 8192];
+    loop {
+        let mut used = 0;
+        // A frame that cannot be read leaves no way to find the next: the connection ends.
+        while let Some((message, length)) =
+            frame::decode(&input[used..]).map_err(|bad| io::Error::other(format!("bad frame: {}", bad.0)))?
+        {
+            used += length;
+            inbox.put(Input::Line(id, LineEvent::Frame(message)));
+        }
+        input.drain(..used);
+        match stream.read(&mut chunk).await? {
+            0 => return Ok(()),
+            n => input.extend(&chunk[..n]),
+        }
+    }
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -81,7 +81,7 @@
 const SECOND_AIM: f64 = 0.5;
 /// A refused client is asked back after this share of what is left of its aim: late enough for a queue to
 /// shrink, early enough for its repeat to be in time. Past its aim: after the longest time that it heeds.
-const RETURN_AIM: f64 = 0.3;
+pub(crate) const RETURN_AIM: f64 = 0.3;
 /// A try has its class's usual time within this ratio. The usual is voted for: a try that has it counts
 /// one, another takes this share away (in a storm few are first tries); it is believed from so many votes on.
 const PATIENCE_SAME: f64 = 0.99;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -50,6 +50,8 @@
 
 pub mod api;
 pub mod choice;
+pub mod room;
+pub mod settings;
 mod state;
 
 pub use choice::Aggregator;
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,266 @@
+//! Decodes the settings object, as the simulator sends it and as a real broker finds it in its configuration.
+
+use crate::api::*;
+use serde_json::{Map, Value};
+
+/// The settings of a site: what the decisions need, and what only a program on sockets does.
+#[derive(Clone, Debug)]
+pub struct Site {
+    /// What an aggregator is told at its start.
+    pub settings: Settings,
+    /// Names of the classes, in the order of their indices.
+    pub class_names: Vec<String>,
+    /// Names of the tenants, likewise.
+    pub tenant_names: Vec<String>,
+    /// Names of the zones, likewise.
+    pub zones: Vec<String>,
+    /// Most queries and parts that one aggregator may hold.
+    pub max_open: Option<u64>,
+    /// Most parts that one connection carries at once.
+    pub multiplex: Option<u64>,
+    /// A connection must be up within this time.
+    pub dial_timeout: Option<Ms>,
+    /// Servers close connections that have been idle for this long.
+    pub keepalive: Option<Ms>,
+}
+
+/// A JSON object, with what an error about it has to name.
+pub struct Message<'a> {
+    name: &'a str,
+    fields: &'a Map<String, Value>,
+}
+
+impl<'a> Message<'a> {
+    /// The object of this name.
+    pub fn new(name: &'a str, fields: &'a Map<String, Value>) -> Self {
+        Message { name, fields }
+    }
+    /// What errors call it.
+    pub fn name(&self) -> &str {
+        self.name
+    }
+    /// An error that names this object and the field.
+    pub fn bad<T>(&self, field: &str, what: &str) -> Result<T, String> {
+        Err(format!("{}: field {field} {what}", self.name))
+    }
+    /// A field, unless it is absent or null.
+    pub fn get(&self, field: &str) -> Option<&Value> {
+        self.fields.get(field).filter(|v| !v.is_null())
+    }
+    /// A number that may be absent.
+    pub fn opt_number(&self, field: &str) -> Result<Option<f64>, String> {
+        match self.get(field) {
+            None => Ok(None),
+            Some(v) => match v.as_f64() {
+                Some(n) => Ok(Some(n)),
+                None => self.bad(field, "is not a number"),
+            },
+        }
+    }
+    /// A number.
+    pub fn number(&self, field: &str) -> Result<f64, String> {
+        match self.opt_number(field)? {
+            Some(n) => Ok(n),
+            None => self.bad(field, "is missing"),
+        }
+    }
+    /// A whole number that may be absent.
+    pub fn opt_whole(&self, field: &str) -> Result<Option<u64>, String> {
+        match self.get(field) {
+            None => Ok(None),
+            Some(v) => match v.as_u64().or_else(|| whole(v.as_f64())) {
+                Some(n) => Ok(Some(n)),
+                None => self.bad(field, "is not a whole number"),
+            },
+        }
+    }
+    /// A whole number.
+    pub fn whole(&self, field: &str) -> Result<u64, String> {
+        match self.opt_whole(field)? {
+            Some(n) => Ok(n),
+            None => self.bad(field, "is missing"),
+        }
+    }
+    /// A string.
+    pub fn text(&self, field: &str) -> Result<&str, String> {
+        match self.get(field) {
+            None => self.bad(field, "is missing"),
+            Some(v) => match v.as_str() {
+                Some(s) => Ok(s),
+                None => self.bad(field, "is not a string"),
+            },
+        }
+    }
+    /// A flag; absent means false.
+    pub fn flag(&self, field: &str) -> Result<bool, String> {
+        match self.get(field) {
+            None => Ok(false),
+            Some(v) => match v.as_bool() {
+                Some(b) => Ok(b),
+                None => self.bad(field, "is not true or false"),
+            },
+        }
+    }
+    /// A list.
+    pub fn list(&self, field: &str) -> Result<&Vec<Value>, String> {
+        match self.get(field) {
+            None => self.bad(field, "is missing"),
+            Some(v) => match v.as_array() {
+                Some(a) => Ok(a),
+                None => self.bad(field, "is not a list"),
+            },
+        }
+    }
+    /// A list of numbers.
+    pub fn numbers(&self, field: &str) -> Result<Vec<f64>, String> {
+        let list = self.list(field)?;
+        let numbers: Vec<f64> = list.iter().filter_map(Value::as_f64).collect();
+        if numbers.len() == list.len() { Ok(numbers) } else { self.bad(field, "is not a list of numbers") }
+    }
+    /// An object inside this one.
+    pub fn inner<'b>(&'b self, field: &'b str) -> Result<Message<'b>, String> {
+        match self.get(field) {
+            None => self.bad(field, "is missing"),
+            Some(v) => match v.as_object() {
+                Some(fields) => Ok(Message { name: field, fields }),
+                None => self.bad(field, "is not an object"),
+            },
+        }
+    }
+    /// The objects of a list inside this one.
+    pub fn objects<'b>(&'b self, field: &'b str) -> Result<Vec<Message<'b>>, String> {
+        let mut objects = Vec::new();
+        for v in self.list(field)? {
+            match v.as_object() {
+                Some(fields) => objects.push(Message { name: field, fields }),
+                None => return self.bad(field, "holds something that is not an object"),
+            }
+        }
+        Ok(objects)
+    }
+}
+
+fn whole(n: Option<f64>) -> Option<u64> {
+    n.filter(|n| n.fract() == 0.0 && *n >= 0.0 && *n < 9.3e18).map(|n| n as u64)
+}
+
+fn nth(list: &[f64], index: usize, m: &Message, field: &str) -> Result<f64, String> {
+    match list.get(index) {
+        Some(n) => Ok(*n),
+        None => m.bad(field, "has too few entries"),
+    }
+}
+
+fn classes(env: &Message, family: &Message) -> Result<Vec<Class>, String> {
+    let need = family.numbers("ClassNeed")?;
+    let floor = family.numbers("MinShare")?;
+    let earns = family.numbers("PartialEarns")?;
+    let fetch = family.numbers("FetchParts")?;
+    let mut classes = Vec::new();
+    for (i, c) in env.objects("Services")?.iter().enumerate() {
+        let semantics = match c.text("Semantics")? {
+            "repeatable" => Semantics::Safe,
+            "by_key" => Semantics::Keyed { window: c.number("MemorySpan")? },
+            "once" => Semantics::Unsafe,
+            _ => return c.bad("Semantics", "is unknown"),
+        };
+        classes.push(Class {
+            aim: c.number("Aim")?,
+            give_up: c.number("GiveUp")?,
+            worth: c.number("Gain")?,
+            late_worth: c.number("LateWorth")?,
+            semantics,
+            need: nth(&need, i, family, "ClassNeed")?,
+            floor: nth(&floor, i, family, "MinShare")?,
+            partial_earns: nth(&earns, i, family, "PartialEarns")?,
+            second_step: nth(&fetch, i, family, "FetchParts")? > 0.0,
+        });
+    }
+    Ok(classes)
+}
+
+/// Reads the settings. The error names the faulty field.
+pub fn decode(env: &Message) -> Result<Site, String> {
+    let family = env.inner("FamilyInfo")?;
+    let allowed = env.inner("Allowed")?;
+    let rules = env.inner("Rules")?;
+    let mut tenants = Vec::new();
+    if env.get("Projects").is_some() {
+        for t in env.objects("Projects")? {
+            tenants.push(Tenant { quota_per_s: t.number("QuotaPerS")? });
+        }
+    }
+    let budget = match (
+        rules.opt_number("SpareAttempts")?,
+        rules.opt_number("ExtraRatio")?,
+        rules.opt_number("RatioSpan")?,
+    ) {
+        (None, None, None) => None,
+        (spare, per_request, Some(span)) => {
+            Some(AttemptBudget { spare: spare.unwrap_or(0.0), per_request: per_request.unwrap_or(0.0), span })
+        }
+        _ => return rules.bad("RatioSpan", "is missing"),
+    };
+    let list = match env.text("MembershipMode")? {
+        "pushed" => ListSource::Pushed,
+        "on_request" => ListSource::OnRequest,
+        _ => return env.bad("MembershipMode", "is unknown"),
+    };
+    let decided = Settings {
+        classes: classes(env, &family)?,
+        tenants,
+        aggregators: env.whole("PeersTotal")? as usize,
+        over_share_worth: env.opt_number("OverShareWorth")?.unwrap_or(1.0),
+        worth_by_work: env.get("WorthBy").and_then(Value::as_str) == Some("work"),
+        marks_again: match env.get("Clients") {
+            Some(_) => env.inner("Clients")?.flag("MarksRetry")?,
+            None => false,
+        },
+        cells: family.whole("Positions")? as usize,
+        reach: family.whole("Width")? as usize,
+        shards: family.whole("Shards")? as usize,
+        batch: family.whole("Batch")? as usize,
+        call_work: family.number("Call")?,
+        max_attempts: allowed.whole("SendCap")? as u32,
+        second_copies: allowed.flag("SecondCopies")?,
+        cancel: allowed.flag("Cancel")?,
+        max_retry_after: if allowed.flag("RetryAfter")? {
+            allowed.opt_number("MaxRetryAfter")?
+        } else {
+            None
+        },
+        messages: allowed.flag("Peers")?,
+        tick: env.number("Tick")?,
+        list,
+        ask_within: rules.opt_number("AskWithin")?.unwrap_or(f64::INFINITY),
+        budget,
+        cold: ColdRule {
+            from: rules.number("ColdFrom")?,
+            warm_after: rules.number("Cold")?,
+            fall_multiple: rules.number("FallMultiple")?,
+            fall_after: rules.number("Fall")?,
+        },
+    };
+    Ok(Site {
+        class_names: names(env, "Services")?,
+        tenant_names: names(env, "Projects")?,
+        zones: match env.get("Zones") {
+            Some(_) => env.list("Zones")?.iter().map(|z| z.as_str().unwrap_or_default().to_owned()).collect(),
+            None => Vec::new(),
+        },
+        max_open: allowed.opt_whole("MaxOpen")?,
+        multiplex: allowed.opt_whole("Multiplex")?,
+        dial_timeout: allowed.opt_number("DialTimeout")?,
+        keepalive: allowed.opt_number("Keepalive")?,
+        settings: decided,
+    })
+}
+
+/// The names of a list of named things; empty where the list is absent.
+fn names(env: &Message, field: &str) -> Result<Vec<String>, String> {
+    if env.get(field).is_none() {
+        return Ok(Vec::new());
+    }
+    let name = |m: &Message| Ok(m.get("Name").and_then(Value::as_str).unwrap_or_default().to_owned());
+    env.objects(field)?.iter().map(name).collect()
+}
