--- a/ploverport/src/broker.rs
+++ b/ploverport/src/broker.rs
@@ -144,6 +144,7 @@
         for input in self.inbox.take() {
             match input {
                 Input::Ask(id, ask, reply) => asks.push((id, ask, reply)),
+                // Told after the query's reply was on its way, this is no news.
                 Input::Gone(id) => {
                     asks.retain(|(ask, _, _)| *ask != id);
                     self.core.leave(id);
@@ -157,7 +158,8 @@
         let reports = self.take_reports();
         let decisions = self.core.report(now, reports);
         self.carry_out(now, decisions);
-        let queries = asks.into_iter().map(|(id, ask, reply)| self.admit(now, id, ask, reply)).collect();
+        let queries =
+            asks.into_iter().filter_map(|(id, ask, reply)| self.admit(now, id, ask, reply)).collect();
         let decisions = self.core.pick(now, queries);
         self.carry_out(now, decisions);
         let decisions = self.core.tick(now);
@@ -211,7 +213,13 @@
         ended.into_iter().map(report).collect()
     }
 
-    fn admit(&mut self, now: Micros, id: QueryId, ask: Ask, reply: Sender<Reply>) -> Query {
+    fn admit(&mut self, now: Micros, id: QueryId, ask: Ask, reply: Sender<Reply>) -> Option<Query> {
+        // Parts go by the request's id on the wire: those of two requests could not be told apart.
+        if self.pending.values().any(|p| p.ask.id == ask.id) {
+            let why = "X-Request-Id is that of a request in hand".to_owned();
+            let _ = reply.try_send(Reply::Bad { status: 400, why });
+            return None;
+        }
         let query = Query {
             id,
             class: ask.class,
@@ -222,10 +230,16 @@
         };
         let values = vec![None; ask.parts.len()];
         self.pending.insert(id, Pending { ask, reply, values });
-        query
+        Some(query)
     }
 
     fn carry_out(&mut self, now: Micros, decisions: Decisions) {
+        if decisions.no_room > 0 {
+            log::warn("no_room", &[("queries", &decisions.no_room), ("held", &self.core.held())]);
+        }
+        if decisions.overdue > 0 {
+            log::warn("overdue", &[("queries", &decisions.overdue)]);
+        }
         for attempt in decisions.give_up {
             if self.dispatches.remove(&attempt).is_some() {
                 // Called off in the turn that asked for it.
--- a/ploverport/src/core.rs
+++ b/ploverport/src/core.rs
@@ -139,6 +139,10 @@
     pub finals: Vec<Final>,
     /// Attempts to send.
     pub dispatches: Vec<Dispatch>,
+    /// Queries among the final answers that there was no room for.
+    pub no_room: usize,
+    /// Queries among the final answers that the decisions had left to run out of time.
+    pub overdue: usize,
 }
 
 struct Open {
@@ -251,6 +255,7 @@
             }));
         }
         let mut decisions = self.run(now);
+        decisions.no_room = refused.len();
         decisions.finals.extend(refused);
         decisions
     }
@@ -269,6 +274,7 @@
         while let Some(&(_, query)) = self.ends.first().filter(|(at, _)| *at <= last) {
             self.leave(query);
             decisions.finals.push(Final { query, verdict: Verdict::Fail });
+            decisions.overdue += 1;
         }
         decisions
     }
@@ -359,3 +365,95 @@
     let (query, part) = name.0.split_once('.')?;
     Some((query.parse().ok()?, part.parse().ok()?))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use brookbend::settings::{Message, decode};
+    use serde_json::Value;
+
+    fn core(max_open: usize) -> Core {
+        let settings: Value = serde_json::from_str(include_str!("../tests/settings.json")).unwrap();
+        let site = decode(&Message::new("settings", settings.as_object().unwrap())).unwrap();
+        let mut core = Core::new(site.settings, max_open, 7);
+        let server = |n: usize| ServerInfo {
+            name: NodeId(format!("s{n}").into()),
+            cell: 0,
+            state: NodeState::Serving,
+            zone: None,
+            started: None,
+        };
+        core.learn(ListScope::Known, (0..2).map(server).collect());
+        core
+    }
+
+    fn query(id: QueryId, shards: &[usize]) -> Query {
+        let weight = 1.0 / shards.len() as f64;
+        let parts = shards.iter().map(|&shard| PartSpec { shard, weight, hint: None }).collect();
+        Query { id, class: 0, tenant: 0, give_up_at: 1_000_000, again: false, parts }
+    }
+
+    fn ended(attempt: AttemptId, outcome: Outcome) -> Report {
+        Report { attempt, outcome, elapsed: 20_000, load: None }
+    }
+
+    #[test]
+    fn a_query_goes_out_is_tried_again_and_ends_once() {
+        let mut core = core(10);
+        let first = core.pick(1000, vec![query(1, &[0, 1])]).dispatches;
+        assert_eq!(first.iter().map(|d| d.attempt.part).collect::<Vec<_>>(), [0, 1]);
+        assert!(first.iter().all(|d| d.attempt.attempt == 0 && d.until <= 1_000_000));
+        let attempts = first.iter().map(|d| d.attempt);
+        let outcomes = [Outcome::Served, Outcome::Full];
+        let again = core.report(30_000, attempts.zip(outcomes).map(|(a, o)| ended(a, o)).collect());
+        assert_eq!(again.finals, []);
+        assert_eq!(again.dispatches[0].attempt, AttemptId { query: 1, part: 1, attempt: 1 });
+        let last = core.report(60_000, vec![ended(again.dispatches[0].attempt, Outcome::Served)]);
+        assert_eq!(last.finals, [Final { query: 1, verdict: Verdict::Answer { whole: true } }]);
+        assert_eq!((core.held(), core.tick(2_000_000).finals), (0, vec![]));
+    }
+
+    /// Beyond MaxOpen the simulator never hands a query over, so that the module does not expect one.
+    #[test]
+    fn what_finds_no_room_is_refused_with_advice_and_room_comes_back() {
+        let mut core = core(3);
+        let both = core.pick(1000, vec![query(1, &[0, 1]), query(2, &[2])]);
+        assert!(matches!(
+            both.finals[..],
+            [Final { query: 2, verdict: Verdict::Refuse { retry_after: Some(_) } }]
+        ));
+        assert_eq!((core.held(), both.dispatches.len(), both.no_room), (3, 2, 1));
+        core.leave(1);
+        core.leave(1);
+        assert_eq!(core.held(), 0);
+        let next = core.pick(6000, vec![query(3, &[2])]);
+        assert_eq!((next.give_up.len(), next.dispatches.len(), core.held()), (2, 1, 2));
+    }
+
+    /// Whatever the module does, a query is not left to run out of time.
+    #[test]
+    fn a_query_that_the_module_forgets_is_failed_in_time() {
+        let mut core = core(10);
+        core.pick(1000, vec![query(1, &[0])]);
+        core.aggregator = Aggregator::new(core.settings.clone(), 7);
+        assert!(core.due() <= 1_000_000 - 5000);
+        let late = core.tick(995_000);
+        assert_eq!(late.finals, [Final { query: 1, verdict: Verdict::Fail }]);
+        assert_eq!((late.overdue, core.held()), (1, 0));
+    }
+
+    #[test]
+    fn a_drained_server_is_sent_nothing_from_the_same_turn_on() {
+        let mut core = core(100);
+        let name = core.pick(1000, vec![query(1, &[0])]).dispatches[0].server.clone();
+        let state = NodeState::Draining;
+        core.learn(
+            ListScope::Changes,
+            vec![ServerInfo { name: name.clone(), cell: 0, state, zone: None, started: None }],
+        );
+        for id in 2..20 {
+            let sent = core.pick(6000, vec![query(id, &[0])]).dispatches;
+            assert!(sent.iter().all(|d| d.server != name));
+        }
+    }
+}
--- /dev/null
+++ b/ploverport/tests/scenarios.rs
@@ -0,0 +1,347 @@
+//! Runs the scenarios in `tests/scenarios` against the real program on loopback.
+//!
+//! A scenario is a text with one step a line; `#` begins a comment. The program is started before the first step
+//! that is not a setting. Names: `cN` a client's connection (opened by its first use), `sN` a data server,
+//! `d` discovery.
+//!
+//! ```text
+//! servers N                    N data servers, each holding all four shards; 1 if not given
+//! dead sN                      nothing listens there
+//! max-open N                   most queries and parts
+//! send cN ask ID CLASS SHARDS DEADLINE
+//! send cN raw TEXT             with \r, \n and the like; `*N` after it repeats the last character
+//! send sN good|bad|later ID [VALUE]        send sN raw TEXT
+//! send d REV all|some [SERVER=STATE ...]   send d raw TEXT
+//! expect cN STATUS [WORD ...]  an answer that holds these words
+//! expect sN call ID ...        one call of these parts; sN may be `any`
+//! expect sN give-up ID
+//! expect d REV                 a watch from this version on
+//! expect log WORD ...          a line of the log that holds these words
+//! expect cN|sN closed          expect exit
+//! close cN|sN|d                wait MILLISECONDS              signal NAME
+//! ```
+//!
+//! Waits are for events, with a bound far beyond what a slow machine needs.
+
+use rstest::rstest;
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, VecDeque};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{Receiver, channel};
+use std::time::{Duration, Instant};
+
+const BOUND: Duration = Duration::from_secs(30);
+
+#[rstest]
+fn scenario(#[files("tests/scenarios/*.txt")] path: PathBuf) {
+    let text = std::fs::read_to_string(&path).unwrap();
+    let mut stage = Stage::default();
+    for (n, line) in text.lines().enumerate() {
+        let words: Vec<&str> = line.split('#').next().unwrap().split_whitespace().collect();
+        if !words.is_empty() {
+            eprintln!("{}:{}: {line}", path.display(), n + 1);
+            stage.step(&words, line);
+        }
+    }
+}
+
+/// A peer of the program: what has come from it and was not yet expected.
+struct Peer {
+    stream: TcpStream,
+    input: Vec<u8>,
+}
+
+impl Peer {
+    fn new(stream: TcpStream) -> Self {
+        stream.set_read_timeout(Some(BOUND)).unwrap();
+        Peer { stream, input: Vec::new() }
+    }
+    fn send(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).unwrap();
+    }
+    /// Reads on. False: the program has closed.
+    fn read(&mut self) -> bool {
+        let mut chunk = [0; 4096];
+        match self.stream.read(&mut chunk) {
+            Ok(n) => {
+                self.input.extend(&chunk[..n]);
+                n > 0
+            }
+            Err(e) if e.kind() == ErrorKind::ConnectionReset => false,
+            Err(e) => panic!("nothing came in time: {e}"),
+        }
+    }
+    fn closed(&mut self) {
+        while self.read() {}
+        assert!(self.input.is_empty(), "more came: {:?}", String::from_utf8_lossy(&self.input));
+    }
+    /// An HTTP message: its head, and its body if it has a length.
+    fn http(&mut self) -> String {
+        loop {
+            let text = String::from_utf8_lossy(&self.input).into_owned();
+            if let Some((head, body)) = text.split_once("\r\n\r\n") {
+                let length = head.lines().find_map(|l| l.strip_prefix("Content-Length: "));
+                let length = length.map_or(0, |l| l.parse::<usize>().unwrap());
+                if body.len() >= length {
+                    self.input.drain(..head.len() + 4 + length);
+                    return format!("{head}\r\n\r\n{}", &body[..length]);
+                }
+            }
+            assert!(self.read(), "closed after {text:?}");
+        }
+    }
+    /// A frame: its letter and the rest.
+    fn frame(&mut self) -> (char, String) {
+        loop {
+            if let Some((length, rest)) = self.input.split_first_chunk::<4>() {
+                let length = u32::from_be_bytes(*length) as usize;
+                if let Some(frame) = rest.get(..length) {
+                    let text = String::from_utf8(frame[1..].to_vec()).unwrap();
+                    let letter = frame[0] as char;
+                    self.input.drain(..4 + length);
+                    return (letter, text);
+                }
+            }
+            assert!(self.read(), "closed before a frame");
+        }
+    }
+}
+
+struct Program {
+    child: Child,
+    log: Receiver<String>,
+    listen: SocketAddr,
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+#[derive(Default)]
+struct Stage {
+    listeners: BTreeMap<String, TcpListener>,
+    peers: BTreeMap<String, Peer>,
+    dead: Vec<String>,
+    max_open: Option<u64>,
+    program: Option<Program>,
+    seen: VecDeque<String>,
+}
+
+impl Stage {
+    fn step(&mut self, words: &[&str], line: &str) {
+        match words {
+            ["servers", n] => (0..n.parse().unwrap()).for_each(|n: usize| self.listen(&format!("s{n}"))),
+            ["dead", server] => self.dead.push((*server).to_owned()),
+            ["max-open", n] => self.max_open = Some(n.parse().unwrap()),
+            _ => {
+                if self.program.is_none() {
+                    self.start();
+                }
+                match words {
+                    ["send", who, "raw", ..] => {
+                        let bytes = unescape(line.split_once(" raw ").unwrap().1);
+                        self.peer(who).send(&bytes);
+                    }
+                    ["send", "d", rev, scope, entries @ ..] => self.tell(rev, scope, entries),
+                    ["send", who, "ask", id, class, shards, deadline] => {
+                        self.peer(who).send(&ask(id, class, shards, deadline));
+                    }
+                    ["send", who, end, id, value @ ..] => {
+                        let rest = format!("q{id} {end} 7 inflight=1,qps=2\n{}", value.concat());
+                        let mut bytes = (rest.len() as u32).to_be_bytes().to_vec();
+                        bytes.extend(rest.into_bytes());
+                        self.peer(who).send(&bytes);
+                    }
+                    ["expect", "exit"] => self.exit(),
+                    ["expect", "log", words @ ..] => self.logged(words),
+                    ["expect", who, "closed"] => self.peer(who).closed(),
+                    ["expect", "d", rev] => {
+                        let call = self.peer("d").http();
+                        assert!(call.contains(&format!("index={rev}&")), "{call}");
+                    }
+                    ["expect", who, "call", ids @ ..] => {
+                        let who = if *who == "any" { self.called() } else { (*who).to_owned() };
+                        let (letter, rest) = self.peer(&who).frame();
+                        assert_eq!(
+                            (letter, parts(&rest)),
+                            ('m', ids.iter().map(|i| i.to_string()).collect())
+                        );
+                    }
+                    ["expect", who, "give-up", id] => {
+                        assert_eq!(self.peer(who).frame(), ('n', (*id).to_owned()));
+                    }
+                    ["expect", who, status, words @ ..] => {
+                        let answer = self.peer(who).http();
+                        assert!(answer.starts_with(&format!("HTTP/1.1 {status} ")), "{answer}");
+                        words.iter().for_each(|w| assert!(answer.contains(w), "no {w} in {answer}"));
+                    }
+                    ["close", who] => drop(self.peers.remove(*who)),
+                    ["wait", ms] => std::thread::sleep(Duration::from_millis(ms.parse().unwrap())),
+                    ["signal", name] => {
+                        let pid = self.program.as_ref().unwrap().child.id().to_string();
+                        let sent = Command::new("kill").args(["-s", name, &pid]).status().unwrap();
+                        assert!(sent.success());
+                    }
+                    _ => panic!("this is no step"),
+                }
+            }
+        }
+    }
+
+    fn listen(&mut self, name: &str) {
+        self.listeners.insert(name.to_owned(), TcpListener::bind("127.0.0.1:0").unwrap());
+    }
+
+    fn entry(&self, name: &str, state: &str) -> Value {
+        let endpoint = self.listeners[name].local_addr().unwrap().to_string();
+        json!({"uid": name, "endpoint": endpoint, "az": "z", "model": "m", "pod_group": 0,
+            "state": state, "capacity_hint": 1.0, "boot_ms": 0})
+    }
+
+    fn start(&mut self) {
+        if self.listeners.is_empty() {
+            self.listen("s0");
+        }
+        let names: Vec<String> = self.listeners.keys().cloned().collect();
+        let targets: Vec<Value> = names.iter().map(|name| self.entry(name, "active")).collect();
+        self.listen("d");
+        self.dead.iter().for_each(|name| drop(self.listeners.remove(name)));
+        let mut settings: Value = serde_json::from_str(include_str!("settings.json")).unwrap();
+        if let Some(n) = self.max_open {
+            settings["Allowed"]["MaxOpen"] = json!(n);
+        }
+        let discovery = self.listeners["d"].local_addr().unwrap().to_string();
+        let config = json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery,
+            "seed": "8c1f30d27a5be964", "limits": {"sockets": 1024}, "settings": settings,
+            "known": {"rev": 1, "all": true, "targets": targets}});
+        let file = std::env::temp_dir().join(format!("ploverport-{}-{}.json", std::process::id(), discovery));
+        std::fs::write(&file, config.to_string()).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_ploverport"))
+            .env("RELAY_CONFIG", &file)
+            .env_remove("RELAY_NAME")
+            .env_remove("RELAY_LISTEN")
+            .env_remove("RELAY_DISCOVERY")
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let (lines, log) = channel();
+        let stderr = BufReader::new(child.stderr.take().unwrap());
+        std::thread::spawn(move || stderr.lines().map_while(Result::ok).try_for_each(|l| lines.send(l)));
+        let listen = "127.0.0.1:0".parse().unwrap();
+        self.program = Some(Program { child, log, listen });
+        self.logged(&["event=started"]);
+        let started = self.seen.pop_back().unwrap();
+        let listen = started.split(' ').find_map(|pair| pair.strip_prefix("listen=")).unwrap();
+        self.program.as_mut().unwrap().listen = listen.parse().unwrap();
+        std::fs::remove_file(file).unwrap();
+    }
+
+    fn peer(&mut self, name: &str) -> &mut Peer {
+        if !self.peers.contains_key(name) {
+            let stream = match self.listeners.get(name) {
+                Some(listener) => accept(&[listener]).1,
+                None => TcpStream::connect(self.program.as_ref().unwrap().listen).unwrap(),
+            };
+            self.peers.insert(name.to_owned(), Peer::new(stream));
+        }
+        self.peers.get_mut(name).unwrap()
+    }
+
+    /// The data server that is called next, to be known as `any` from then on.
+    fn called(&mut self) -> String {
+        if !self.peers.contains_key("any") {
+            let servers = self.listeners.iter().filter(|(name, _)| *name != "d").map(|(_, l)| l);
+            let stream = accept(&servers.collect::<Vec<_>>()).1;
+            self.peers.insert("any".to_owned(), Peer::new(stream));
+        }
+        "any".to_owned()
+    }
+
+    fn tell(&mut self, rev: &str, scope: &str, entries: &[&str]) {
+        let entries = entries.iter().map(|e| e.split_once('=').unwrap());
+        let targets: Vec<Value> = entries.map(|(name, state)| self.entry(name, state)).collect();
+        let rev: u64 = rev.parse().unwrap();
+        let body = json!({"rev": rev, "all": scope == "all", "targets": targets}).to_string();
+        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        self.peer("d").send(answer.as_bytes());
+    }
+
+    fn logged(&mut self, words: &[&str]) {
+        let until = Instant::now() + BOUND;
+        loop {
+            let left = until.saturating_duration_since(Instant::now());
+            let line = self.program.as_ref().unwrap().log.recv_timeout(left);
+            let line = line.unwrap_or_else(|_| panic!("no line with {words:?}; seen: {:?}", self.seen));
+            self.seen.push_back(line.clone());
+            if words.iter().all(|w| line.contains(w)) {
+                return;
+            }
+        }
+    }
+
+    fn exit(&mut self) {
+        let until = Instant::now() + BOUND;
+        let program = self.program.as_mut().unwrap();
+        loop {
+            if let Some(status) = program.child.try_wait().unwrap() {
+                return assert!(status.success(), "{status}");
+            }
+            assert!(Instant::now() < until, "it runs on");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+}
+
+/// Accepts from whichever is connected to first.
+fn accept(listeners: &[&TcpListener]) -> (usize, TcpStream) {
+    let until = Instant::now() + BOUND;
+    loop {
+        for (n, listener) in listeners.iter().enumerate() {
+            listener.set_nonblocking(true).unwrap();
+            if let Ok((stream, _)) = listener.accept() {
+                stream.set_nonblocking(false).unwrap();
+                return (n, stream);
+            }
+        }
+        assert!(Instant::now() < until, "nobody connected");
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
+fn ask(id: &str, class: &str, shards: &str, deadline: &str) -> Vec<u8> {
+    let shards: Vec<usize> = shards.split(',').map(|s| s.parse().unwrap()).collect();
+    let portion = 1.0 / shards.len() as f64;
+    let range = |s: &usize| json!({"range": s, "portion": portion});
+    let ranges: Vec<Value> = shards.iter().map(range).collect();
+    let body = json!({"ranges": ranges, "predicate": "c41e77d0"}).to_string();
+    let length = body.len();
+    format!(
+        "POST /{class} HTTP/1.1\r\nHost: app.svc\r\nX-Request-Id: {id}\r\nX-Class: {class}\r\nX-Tenant: acme\r\n\
+         Idempotency-Key: k{id}\r\nX-Deadline: {deadline}\r\nContent-Length: {length}\r\n\r\n{body}"
+    )
+    .into_bytes()
+}
+
+/// The ids of a call's parts; each has to carry the text unchanged.
+fn parts(mut rest: &str) -> Vec<String> {
+    let mut ids = Vec::new();
+    while let Some((line, text)) = rest.split_once('\n') {
+        ids.push(line.split(' ').next().unwrap().to_owned());
+        assert!(line.ends_with(" 8") && line.contains(" d="), "{line}");
+        rest = text.strip_prefix("c41e77d0").unwrap();
+    }
+    ids
+}
+
+fn unescape(text: &str) -> Vec<u8> {
+    let (text, times) = text.rsplit_once('*').map_or((text, 1), |(t, n)| (t, n.trim().parse().unwrap()));
+    let text = text.replace("\\r", "\r").replace("\\n", "\n").replace("\\0", "\0").replace("\\x09", "\t");
+    let last = text.chars().last().unwrap().to_string();
+    (text + &last.repeat(times - 1)).into_bytes()
+}
