Test pool, configuration and query decoding; bound what a client connection can hold

Seen: reading the code for bounds: a client's buffer doubled up to 288 KiB, and 661 connections may be open, so that in the worst case buffers alone (190 MB) would have reached the 192 MB limit. Buffers now grow by 16 KiB steps up to 112 KiB (front/mod.rs read_some, http.rs WIRE_CAP). Entries of servers that were gone before they had a connection stayed in the pool for ever (upstream/mod.rs remove); now forgotten in one place.

Checked: 26 unit tests and 16 scenarios pass.

--- a/ploverport/src/broker.rs
+++ b/ploverport/src/broker.rs
@@ -144,7 +144,7 @@
         for input in self.inbox.take() {
             match input {
                 Input::Ask(id, ask, reply) => asks.push((id, ask, reply)),
-                // Told after the query's reply was on its way, this is no news.
+                // Where the reply was already on its way, there is nothing left to free.
                 Input::Gone(id) => {
                     asks.retain(|(ask, _, _)| *ask != id);
                     self.core.leave(id);
@@ -177,14 +177,12 @@
         if scope != ListScope::Changes {
             let named: BTreeSet<&NodeId> = servers.iter().map(|s| &s.name).collect();
             for name in self.upstream.serving().iter().filter(|name| !named.contains(name)) {
-                self.upstream.remove(now, name);
+                self.upstream.learn(now, name.clone(), None);
             }
         }
         for (server, target) in servers.iter().zip(&targets.targets) {
-            match server.state {
-                NodeState::Gone => self.upstream.remove(now, &server.name),
-                state => self.upstream.learn(now, server.name.clone(), state, target.endpoint),
-            }
+            let serving = server.state == NodeState::Serving;
+            self.upstream.learn(now, server.name.clone(), serving.then_some(target.endpoint));
         }
         self.core.learn(scope, servers);
     }
--- a/ploverport/src/config.rs
+++ b/ploverport/src/config.rs
@@ -143,3 +143,47 @@
         settings: site.settings,
     })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    fn config() -> Value {
+        let settings: Value = serde_json::from_str(include_str!("../tests/settings.json")).unwrap();
+        json!({"name": "n3", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "8c1f30d27a5be964",
+            "limits": {"sockets": 4096}, "known": {"rev": 1, "all": true, "targets": []}, "settings": settings})
+    }
+
+    #[test]
+    fn the_environment_goes_before_the_file_and_limits_have_defaults() {
+        let env = |key: &str| (key == "RELAY_LISTEN").then(|| "127.0.0.1:3".to_owned());
+        let config = check(&config(), env).unwrap();
+        assert_eq!((config.listen.port(), config.discovery.port(), config.name.as_str()), (3, 2, "n3"));
+        assert!(config.client_sockets + config.pool.sockets < SOCKETS as usize);
+        assert_eq!((config.pool.batch, config.pool.dial_timeout, config.max_open), (2, 250_000, 100));
+    }
+
+    #[test]
+    fn an_error_names_the_key() {
+        for (pointer, value, name) in [
+            ("/seed", json!("xyz"), "seed"),
+            ("/listen", json!("nowhere"), "listen"),
+            ("/known/rev", json!("a"), "known"),
+            ("/limits/sockets", json!(10), "sockets"),
+            ("/limits/sockets", json!("many"), "sockets"),
+            ("/settings/Tick", json!(0), "Tick"),
+            ("/settings/Tick", json!(null), "Tick"),
+            ("/settings/FamilyInfo/Shards", json!(0), "Shards"),
+            ("/settings/FamilyInfo/FetchParts", json!([0, 2, 0]), "FetchParts"),
+            ("/settings/Services/0/Name", json!(null), "Services"),
+            ("/settings/Allowed/MaxOpen", json!("x"), "MaxOpen"),
+        ] {
+            let mut config = config();
+            *config.pointer_mut(pointer).unwrap() = value;
+            let error = check(&config, |_| None).expect_err(pointer);
+            assert!(error.contains(name), "{pointer}: {error}");
+        }
+        assert!(read(|_| None).unwrap_err().contains("RELAY_CONFIG"));
+    }
+}
--- a/ploverport/src/front/mod.rs
+++ b/ploverport/src/front/mod.rs
@@ -29,6 +29,8 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// How much may be read ahead while an answer is awaited.
 const AHEAD: usize = http::HEAD_CAP;
+/// Steps in which a connection's buffer grows.
+const STEP: usize = 16 * 1024;
 const READY_PATH: &str = "/-/ready";
 
 /// The front: what all client connections share.
@@ -233,6 +235,10 @@
 async fn read_some(mut stream: &Async<TcpStream>, input: &mut Vec<u8>) -> io::Result<usize> {
     let mut chunk = [0; 4096];
     let n = stream.read(&mut chunk).await?;
+    // By steps, not by doubling: as many connections as there may be must fit the memory, each with its most.
+    if input.capacity() - input.len() < n {
+        input.reserve_exact(STEP);
+    }
     input.extend(&chunk[..n]);
     Ok(n)
 }
--- a/ploverport/src/front/query.rs
+++ b/ploverport/src/front/query.rs
@@ -221,3 +221,26 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn deadlines_have_a_unit() {
+        assert_eq!(deadline("480m"), Some(480_000));
+        assert_eq!(deadline("1.5m"), Some(1500));
+        assert_eq!(deadline("480u"), Some(480));
+        assert_eq!(deadline("9e99m"), Some(LONGEST));
+        for text in ["", "m", "480", "480s", "-1m", "NaNm", "infm", "4\u{e9}"] {
+            assert_eq!(deadline(text), None, "{text}");
+        }
+    }
+
+    #[test]
+    fn refusals_tell_when_to_come_back() {
+        let reply = Reply::Refused { retry_after: Some(1_250_400) };
+        let text = String::from_utf8(encode(&reply, true)).unwrap();
+        assert!(text.starts_with("HTTP/1.1 503 ") && text.contains("\r\nRetry-After: 1.250\r\n"), "{text}");
+    }
+}
--- a/ploverport/src/http.rs
+++ b/ploverport/src/http.rs
@@ -6,8 +6,8 @@
 pub const HEAD_CAP: usize = 16 * 1024;
 /// Longest body.
 pub const BODY_CAP: usize = 64 * 1024;
-/// Longest body on the wire: chunks come with lines of their own.
-const WIRE_CAP: usize = 2 * BODY_CAP;
+/// Longest body on the wire: chunks come with lines of their own. It bounds what each connection can hold.
+const WIRE_CAP: usize = BODY_CAP + 32 * 1024;
 const HEADERS: usize = 64;
 
 /// A request, or an answer: then `method` holds nothing and `status` is set.
--- a/ploverport/src/upstream/line.rs
+++ b/ploverport/src/upstream/line.rs
@@ -99,7 +99,7 @@
     }
 
     /// The next frame to write.
-    async fn next(&self) -> Vec<u8> {
+    pub(super) async fn next(&self) -> Vec<u8> {
         loop {
             if let Some(item) = self.waiting.borrow_mut().pop_front() {
                 return match item {
--- a/ploverport/src/upstream/mod.rs
+++ b/ploverport/src/upstream/mod.rs
@@ -9,7 +9,7 @@
 
 use crate::clock::Micros;
 use crate::config::PoolLimits;
-use crate::core::{AttemptId, NodeId, NodeState, Outcome};
+use crate::core::{AttemptId, NodeId, Outcome};
 use crate::inbox::Inbox;
 use crate::log;
 use async_executor::{LocalExecutor, Task};
@@ -117,16 +117,25 @@
         }
     }
 
-    /// Takes a server's state and address. What waits unsent for one that wants nothing new is taken back.
-    pub fn learn(&mut self, now: Micros, name: NodeId, state: NodeState, endpoint: SocketAddr) {
-        let server = self.servers.entry(name).or_default();
-        let moved = server.endpoint.is_some_and(|old| old != endpoint);
-        server.endpoint = (state == NodeState::Serving).then_some(endpoint);
-        if moved || state != NodeState::Serving {
+    /// Takes where a server is to be called; `None`: it wants nothing new, or is gone. What waits unsent for
+    /// one that left or moved is taken back.
+    pub fn learn(&mut self, now: Micros, name: NodeId, endpoint: Option<SocketAddr>) {
+        let server = self.servers.entry(name.clone()).or_default();
+        let moved = server.endpoint.is_some_and(|old| Some(old) != endpoint);
+        server.endpoint = endpoint;
+        if moved {
             for id in server.conns.clone() {
                 self.retire(now, id);
             }
         }
+        self.forget(&name);
+    }
+
+    /// Forgets a server that is not to be called and has no connections.
+    fn forget(&mut self, name: &NodeId) {
+        if self.servers.get(name).is_some_and(|s| s.endpoint.is_none() && s.conns.is_empty()) {
+            self.servers.remove(name);
+        }
     }
 
     /// The names of all servers that take something new.
@@ -135,15 +144,6 @@
         serving.map(|(name, _)| name.clone()).collect()
     }
 
-    /// Takes a server off the list.
-    pub fn remove(&mut self, now: Micros, name: &NodeId) {
-        let Some(server) = self.servers.get_mut(name) else { return };
-        server.endpoint = None;
-        for id in server.conns.clone() {
-            self.retire(now, id);
-        }
-    }
-
     /// Sends the attempts of one turn: those to one server share calls.
     pub fn dispatch(&mut self, now: Micros, sends: Vec<Send>) {
         let mut by_server: BTreeMap<NodeId, Vec<Send>> = BTreeMap::new();
@@ -322,11 +322,10 @@
     /// The one place where a connection is given back.
     fn close(&mut self, id: u64) {
         let Some(conn) = self.conns.remove(&id) else { return };
-        let Some(server) = self.servers.get_mut(&conn.server) else { return };
-        server.conns.remove(&id);
-        if server.conns.is_empty() && server.endpoint.is_none() {
-            self.servers.remove(&conn.server);
+        if let Some(server) = self.servers.get_mut(&conn.server) {
+            server.conns.remove(&id);
         }
+        self.forget(&conn.server);
     }
 
     /// Closes what is idle for too long, or retired and done with.
@@ -357,3 +356,145 @@
         self.conns.len()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::inbox::Input;
+    use futures_lite::future::yield_now;
+    use std::net::TcpListener;
+
+    const SECOND: Micros = 1_000_000;
+
+    fn pool(limits: PoolLimits) -> (Upstream, TcpListener) {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let mut pool = Upstream::new(Rc::default(), Rc::default(), limits);
+        pool.learn(0, server(), Some(listener.local_addr().unwrap()));
+        (pool, listener)
+    }
+
+    fn limits() -> PoolLimits {
+        let (dial_timeout, keepalive) = (SECOND / 4, 15 * SECOND);
+        PoolLimits { sockets: 10, batch: 2, multiplex: 4, dial_timeout, keepalive }
+    }
+
+    fn server() -> NodeId {
+        NodeId("s0".into())
+    }
+
+    fn sends(query: u64, parts: usize) -> Vec<Send> {
+        let send = |part| Send {
+            attempt: AttemptId { query, part, attempt: 0 },
+            server: server(),
+            until: SECOND,
+            wire: format!("q{query}.{part}"),
+            shard: part,
+            key: None,
+            text: "c41e77d0".into(),
+        };
+        (0..parts).map(send).collect()
+    }
+
+    fn outcomes(pool: &mut Upstream) -> Vec<Outcome> {
+        pool.take_ended().iter().map(|e| e.outcome).collect()
+    }
+
+    fn answer(wire: &str) -> LineEvent {
+        let (id, outcome, held) = (wire.to_owned(), Outcome::Served, Some(1.0));
+        LineEvent::Frame(FromServer::Answer { id, outcome, held, value: "v".to_owned() })
+    }
+
+    #[test]
+    fn a_connection_is_used_up_to_its_limit_and_then_another_is_opened() {
+        let (mut pool, _listener) = pool(limits());
+        pool.dispatch(0, sends(1, 3));
+        pool.dispatch(0, sends(2, 1));
+        assert_eq!(pool.open(), 1);
+        pool.dispatch(0, sends(3, 1));
+        assert_eq!(pool.open(), 2);
+    }
+
+    /// Every dispatched attempt ends, also where no descriptor is left for it.
+    #[test]
+    fn with_no_descriptor_left_an_idle_connection_makes_room_or_the_attempt_ends() {
+        let (mut pool, listener) = pool(PoolLimits { sockets: 1, ..limits() });
+        pool.dispatch(0, sends(1, 1));
+        let other = NodeId("s1".into());
+        pool.learn(0, other.clone(), Some(listener.local_addr().unwrap()));
+        let to_other =
+            |query| sends(query, 1).into_iter().map(|s| Send { server: other.clone(), ..s }).collect();
+        pool.dispatch(0, to_other(2));
+        assert_eq!(outcomes(&mut pool), [Outcome::NoConnection]);
+        pool.hear(10, 0, answer("q1.0"));
+        pool.dispatch(20, to_other(3));
+        assert_eq!((outcomes(&mut pool), pool.open()), (vec![Outcome::Served], 1));
+    }
+
+    /// A part that crosses the server's closing of an idle connection would end as a reset.
+    #[test]
+    fn idle_connections_are_closed_before_the_server_does() {
+        let (mut pool, _listener) = pool(limits());
+        pool.dispatch(0, sends(1, 1));
+        pool.hear(100, 0, answer("q1.0"));
+        pool.sweep(11 * SECOND);
+        assert_eq!(pool.open(), 1);
+        pool.sweep(12 * SECOND);
+        assert_eq!(pool.open(), 0);
+    }
+
+    /// Within the drain's grace nothing may go out, not even what waited for a connection when it began.
+    #[test]
+    fn what_waits_for_a_server_that_leaves_is_taken_back() {
+        let (mut pool, _listener) = pool(limits());
+        pool.dispatch(0, sends(1, 2));
+        pool.learn(10, server(), None);
+        assert_eq!(outcomes(&mut pool), [Outcome::NotSent; 2]);
+        pool.dispatch(20, sends(2, 1));
+        assert_eq!(outcomes(&mut pool), [Outcome::NoConnection]);
+        pool.sweep(20);
+        assert_eq!((pool.open(), pool.servers.len()), (0, 0));
+    }
+
+    /// What was not written to its last byte never ran; what was may have, or may yet.
+    #[test]
+    fn the_end_of_an_attempt_tells_whether_it_may_have_run() {
+        let (mut pool, _listener) = pool(limits());
+        pool.dispatch(0, sends(1, 1));
+        pool.expire(SECOND);
+        assert_eq!(outcomes(&mut pool), [Outcome::NoConnection]);
+        pool.dispatch(0, sends(2, 2));
+        let line = pool.conns[&0].line.clone();
+        futures_lite::future::block_on(line.next());
+        pool.hear(20, 0, LineEvent::Down("half-written".to_owned()));
+        assert_eq!(outcomes(&mut pool), [Outcome::NoConnection; 2]);
+        pool.dispatch(30, sends(3, 1));
+        let (executor, inbox) = (pool.executor.clone(), pool.inbox.clone());
+        let line = pool.conns[&1].line.clone();
+        let written = async {
+            while !line.unwritten().is_empty() {
+                yield_now().await;
+            }
+        };
+        async_io::block_on(executor.run(written));
+        assert!(!inbox.take().iter().any(|i| matches!(i, Input::Line(1, LineEvent::Down(_)))));
+        pool.hear(40, 1, LineEvent::Down("reset".to_owned()));
+        assert_eq!(outcomes(&mut pool), [Outcome::ConnectionLost]);
+    }
+
+    /// Over a cut link connections stay open and silent; one that has spoken is kept.
+    #[test]
+    fn a_connection_that_stays_silent_is_closed_with_the_attempt_that_waited_in_vain() {
+        for spoke in [false, true] {
+            let (mut pool, _listener) = pool(limits());
+            pool.dispatch(0, sends(1, 2));
+            futures_lite::future::block_on(pool.conns[&0].line.next());
+            if spoke {
+                pool.hear(100, 0, answer("q1.1"));
+            }
+            pool.expire(SECOND);
+            pool.sweep(SECOND);
+            assert_eq!(outcomes(&mut pool).last(), Some(&Outcome::TimedOut));
+            assert_eq!(pool.open(), usize::from(spoke));
+        }
+    }
+}
--- a/ploverport/tests/scenarios.rs
+++ b/ploverport/tests/scenarios.rs
@@ -185,7 +185,10 @@
                     ["wait", ms] => std::thread::sleep(Duration::from_millis(ms.parse().unwrap())),
                     ["signal", name] => {
                         let pid = self.program.as_ref().unwrap().child.id().to_string();
-                        let sent = Command::new("kill").args(["-s", name, &pid]).status().unwrap();
+                        let sent = Command::new("sh")
+                            .args(["-c", &format!("kill -s {name} {pid}")])
+                            .status()
+                            .unwrap();
                         assert!(sent.success());
                     }
                     _ => panic!("this is no step"),
