Let time-outs reach the module as time-outs, before it acts on the same moment

At fault: broker.rs turn() expired attempts after the core's calls. The module ends a query at the very moment at which its attempts time out, so it called them off first; its pace, silence and width then learned nothing from a hang.

Now Upstream::take_ended, with which a turn begins, ends what is overdue. A further attempt could then go out in the same turn as the giving up of the first, so a connection whose socket is stuck in a frame is closed at once (is_stuck), with a test. Logging no longer panics when its reader has gone.

--- a/ploverport/src/broker.rs
+++ b/ploverport/src/broker.rs
@@ -155,7 +155,7 @@
                 Input::Terminate => self.terminate(now),
             }
         }
-        let reports = self.take_reports();
+        let reports = self.take_reports(now);
         let decisions = self.core.report(now, reports);
         self.carry_out(now, decisions);
         let queries =
@@ -167,7 +167,6 @@
         let sends = std::mem::take(&mut self.dispatches);
         let sends = sends.into_values().filter_map(|d| self.send(d)).collect();
         self.upstream.dispatch(now, sends);
-        self.upstream.expire(now);
         self.upstream.sweep(now);
     }
 
@@ -196,9 +195,9 @@
     }
 
     /// What ended since the last turn, for the decisions; the values stay here, with their queries.
-    fn take_reports(&mut self) -> Vec<Report> {
+    fn take_reports(&mut self, now: Micros) -> Vec<Report> {
         let mut ended = std::mem::take(&mut self.ended);
-        ended.extend(self.upstream.take_ended());
+        ended.extend(self.upstream.take_ended(now));
         let report = |e: Ended| {
             if let Some(pending) = self.pending.get_mut(&e.attempt.query)
                 && let Some(value) = pending.values.get_mut(e.attempt.part)
--- a/ploverport/src/discovery.rs
+++ b/ploverport/src/discovery.rs
@@ -13,8 +13,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// How long a watch may wait. Shorter than the protocol allows: a dead connection is noticed sooner.
-const WAIT: Duration = Duration::from_secs(10);
+/// How long a watch may wait. Far shorter than the protocol allows: a call that got lost is noticed sooner.
+const WAIT: Duration = Duration::from_secs(5);
 /// How much longer its answer may take.
 const GRACE: Duration = Duration::from_secs(1);
 /// First and longest wait after a failure. The first is well under the 200 ms that a watch may pause.
--- a/ploverport/src/log.rs
+++ b/ploverport/src/log.rs
@@ -3,7 +3,8 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::fmt::{Display, Write};
+use std::fmt::{Display, Write as _};
+use std::io::Write as _;
 use std::time::{Duration, Instant};
 
 /// One line of an event in this time; the start and the end of the program are logged whatever came before.
@@ -30,7 +31,8 @@
 
 fn write(level: &str, event: &'static str, pairs: &[(&str, &dyn Display)]) {
     let Some(left_out) = admit(event, Instant::now()) else { return };
-    eprintln!("{}", line(level, event, pairs, left_out));
+    // A reader of the log that has gone must not bring the program down, as a panicking print would.
+    let _ = writeln!(std::io::stderr(), "{}", line(level, event, pairs, left_out));
 }
 
 /// Whether a line of this event may go out; if so, how many did not since the last.
--- a/ploverport/src/upstream/line.rs
+++ b/ploverport/src/upstream/line.rs
@@ -42,8 +42,8 @@
 /// What waits to be written to one connection.
 pub(super) struct Line {
     waiting: RefCell<VecDeque<Item>>,
-    /// The parts of the frame that is being written.
-    writing: RefCell<Vec<String>>,
+    /// The parts of the frame that is being written; a giving up has none.
+    writing: RefCell<Option<Vec<String>>>,
     bell: (Sender<()>, Receiver<()>),
 }
 
@@ -95,7 +95,18 @@
             Item::Call(parts) => parts.as_slice(),
             Item::GiveUp(_) => &[],
         });
-        parts.map(|p| p.wire.clone()).chain(self.writing.borrow().iter().cloned()).collect()
+        let writing = self.writing.borrow();
+        parts.map(|p| &p.wire).chain(writing.iter().flatten()).cloned().collect()
+    }
+
+    /// Whether a frame is being written that the socket does not take: between turns the task has had its time.
+    pub(super) fn is_stuck(&self) -> bool {
+        self.writing.borrow().is_some()
+    }
+
+    /// The frame that was being written is out.
+    pub(super) fn written(&self) {
+        *self.writing.borrow_mut() = None;
     }
 
     /// The next frame to write.
@@ -103,9 +114,12 @@
         loop {
             if let Some(item) = self.waiting.borrow_mut().pop_front() {
                 return match item {
-                    Item::GiveUp(wire) => frame::give_up(&wire),
+                    Item::GiveUp(wire) => {
+                        *self.writing.borrow_mut() = Some(Vec::new());
+                        frame::give_up(&wire)
+                    }
                     Item::Call(parts) => {
-                        *self.writing.borrow_mut() = parts.iter().map(|p| p.wire.clone()).collect();
+                        *self.writing.borrow_mut() = Some(parts.iter().map(|p| p.wire.clone()).collect());
                         frame::call(parts.iter().map(|p| PartLine {
                             id: &p.wire,
                             shard: p.shard,
@@ -136,7 +150,7 @@
     loop {
         let frame = line.next().await;
         stream.write_all(&frame).await?;
-        line.writing.borrow_mut().clear();
+        line.written();
     }
 }
 
--- a/ploverport/src/upstream/mod.rs
+++ b/ploverport/src/upstream/mod.rs
@@ -227,14 +227,6 @@
         self.abandon(now, attempt, Outcome::Cancelled);
     }
 
-    /// Stops waiting for attempts whose time is over. They count as ended from the next turn on: by then the
-    /// server has been told, so that no second attempt at a part overtakes the giving up of the first.
-    pub fn expire(&mut self, now: Micros) {
-        while let Some(&(_, attempt)) = self.deadlines.first().filter(|(until, _)| *until <= now) {
-            self.abandon(now, attempt, Outcome::TimedOut);
-        }
-    }
-
     fn abandon(&mut self, now: Micros, attempt: AttemptId, outcome: Outcome) {
         let Some(flight) = self.flights.get(&attempt) else { return };
         let (id, sent, wire) = (flight.conn, flight.sent, flight.wire.clone());
@@ -242,6 +234,12 @@
         if let Some(conn) = self.conns.get_mut(&id).filter(|_| !unsent) {
             conn.line.put(Item::GiveUp(wire));
             conn.retiring |= conn.heard <= sent && now - sent >= SILENT_DIALS * self.limits.dial_timeout;
+            // Nothing gets through, the giving up neither: only the end of the connection keeps a further attempt
+            // at the part from being a second one beside it.
+            if conn.line.is_stuck() {
+                self.end(now, attempt, outcome, None, None);
+                return self.lose(now, id);
+            }
         }
         // Still on this side when its time ended: never ran. The wait was for a connection that did not come up.
         let outcome = if unsent && outcome == Outcome::TimedOut { Outcome::NoConnection } else { outcome };
@@ -336,8 +334,13 @@
         done.into_iter().for_each(|id| self.close(id));
     }
 
-    /// Takes the attempts that have ended.
-    pub fn take_ended(&mut self) -> Vec<Ended> {
+    /// Takes the attempts that have ended, those included whose time is over by now. A turn begins with this:
+    /// the module ends a query at the moment at which its attempts time out, and would else call them off first,
+    /// so that no time-out ever reached it and silent servers went unnoticed.
+    pub fn take_ended(&mut self, now: Micros) -> Vec<Ended> {
+        while let Some(&(_, attempt)) = self.deadlines.first().filter(|(until, _)| *until <= now) {
+            self.abandon(now, attempt, Outcome::TimedOut);
+        }
         std::mem::take(&mut self.ended)
     }
 
@@ -346,7 +349,7 @@
         !self.ended.is_empty()
     }
 
-    /// When [`Upstream::expire`] is due.
+    /// When [`Upstream::take_ended`] is due.
     pub fn due(&self) -> Micros {
         self.deadlines.first().map_or(Micros::MAX, |(until, _)| *until)
     }
@@ -361,7 +364,7 @@
 mod tests {
     use super::*;
     use crate::inbox::Input;
-    use futures_lite::future::yield_now;
+    use futures_lite::future::{block_on, yield_now};
     use std::net::TcpListener;
 
     const SECOND: Micros = 1_000_000;
@@ -395,8 +398,8 @@
         (0..parts).map(send).collect()
     }
 
-    fn outcomes(pool: &mut Upstream) -> Vec<Outcome> {
-        pool.take_ended().iter().map(|e| e.outcome).collect()
+    fn outcomes(pool: &mut Upstream, now: Micros) -> Vec<Outcome> {
+        pool.take_ended(now).iter().map(|e| e.outcome).collect()
     }
 
     fn answer(wire: &str) -> LineEvent {
@@ -424,10 +427,10 @@
         let to_other =
             |query| sends(query, 1).into_iter().map(|s| Send { server: other.clone(), ..s }).collect();
         pool.dispatch(0, to_other(2));
-        assert_eq!(outcomes(&mut pool), [Outcome::NoConnection]);
+        assert_eq!(outcomes(&mut pool, 30), [Outcome::NoConnection]);
         pool.hear(10, 0, answer("q1.0"));
         pool.dispatch(20, to_other(3));
-        assert_eq!((outcomes(&mut pool), pool.open()), (vec![Outcome::Served], 1));
+        assert_eq!((outcomes(&mut pool, 30), pool.open()), (vec![Outcome::Served], 1));
     }
 
     /// A part that crosses the server's closing of an idle connection would end as a reset.
@@ -448,9 +451,9 @@
         let (mut pool, _listener) = pool(limits());
         pool.dispatch(0, sends(1, 2));
         pool.learn(10, server(), None);
-        assert_eq!(outcomes(&mut pool), [Outcome::NotSent; 2]);
+        assert_eq!(outcomes(&mut pool, 30), [Outcome::NotSent; 2]);
         pool.dispatch(20, sends(2, 1));
-        assert_eq!(outcomes(&mut pool), [Outcome::NoConnection]);
+        assert_eq!(outcomes(&mut pool, 30), [Outcome::NoConnection]);
         pool.sweep(20);
         assert_eq!((pool.open(), pool.servers.len()), (0, 0));
     }
@@ -460,13 +463,12 @@
     fn the_end_of_an_attempt_tells_whether_it_may_have_run() {
         let (mut pool, _listener) = pool(limits());
         pool.dispatch(0, sends(1, 1));
-        pool.expire(SECOND);
-        assert_eq!(outcomes(&mut pool), [Outcome::NoConnection]);
+        assert_eq!(outcomes(&mut pool, SECOND), [Outcome::NoConnection]);
         pool.dispatch(0, sends(2, 2));
         let line = pool.conns[&0].line.clone();
-        futures_lite::future::block_on(line.next());
+        block_on(line.next());
         pool.hear(20, 0, LineEvent::Down("half-written".to_owned()));
-        assert_eq!(outcomes(&mut pool), [Outcome::NoConnection; 2]);
+        assert_eq!(outcomes(&mut pool, 30), [Outcome::NoConnection; 2]);
         pool.dispatch(30, sends(3, 1));
         let (executor, inbox) = (pool.executor.clone(), pool.inbox.clone());
         let line = pool.conns[&1].line.clone();
@@ -478,7 +480,7 @@
         async_io::block_on(executor.run(written));
         assert!(!inbox.take().iter().any(|i| matches!(i, Input::Line(1, LineEvent::Down(_)))));
         pool.hear(40, 1, LineEvent::Down("reset".to_owned()));
-        assert_eq!(outcomes(&mut pool), [Outcome::ConnectionLost]);
+        assert_eq!(outcomes(&mut pool, 30), [Outcome::ConnectionLost]);
     }
 
     /// Over a cut link connections stay open and silent; one that has spoken is kept.
@@ -487,14 +489,26 @@
         for spoke in [false, true] {
             let (mut pool, _listener) = pool(limits());
             pool.dispatch(0, sends(1, 2));
-            futures_lite::future::block_on(pool.conns[&0].line.next());
+            block_on(pool.conns[&0].line.next());
+            pool.conns[&0].line.written();
             if spoke {
                 pool.hear(100, 0, answer("q1.1"));
             }
-            pool.expire(SECOND);
+            let outcomes = outcomes(&mut pool, SECOND);
             pool.sweep(SECOND);
-            assert_eq!(outcomes(&mut pool).last(), Some(&Outcome::TimedOut));
+            assert_eq!(outcomes.last(), Some(&Outcome::TimedOut));
             assert_eq!(pool.open(), usize::from(spoke));
         }
     }
+
+    /// A further attempt at a part must not go out while a stuck socket holds back the giving up of the first.
+    #[test]
+    fn a_connection_that_is_stuck_in_a_frame_ends_with_the_first_attempt_given_up() {
+        let (mut pool, _listener) = pool(limits());
+        pool.dispatch(0, sends(1, 2));
+        block_on(pool.conns[&0].line.next());
+        pool.give_up(SECOND / 2, AttemptId { query: 1, part: 0, attempt: 0 });
+        assert_eq!(outcomes(&mut pool, SECOND / 2), [Outcome::Cancelled, Outcome::NoConnection]);
+        assert_eq!(pool.open(), 0);
+    }
 }
