--- a/ploverport/src/upstream/line.rs
+++ b/ploverport/src/upstream/line.rs
@@ -1,6 +1,6 @@
 //! One connection to a data server: what waits to be written, and the task that writes and reads.
 
-use super::frame::{self, FromServer, PartLine};
+use super::frame::{self, BadFrame, FromServer, PartLine};
 use crate::clock::Micros;
 use crate::discovery::limited;
 use crate::inbox::{Inbox, Input};
@@ -19,7 +19,9 @@
     /// A frame has come.
     Frame(FromServer),
     /// The connection has ended or never came up.
-    Down(String),
+    Down(io::Error),
+    /// A frame came that cannot be read. The connection has ended: nothing tells where the next one begins.
+    Bad(BadFrame),
 }
 
 /// One part, ready for its frame.
@@ -137,38 +139,50 @@
 
 /// Dials, writes and reads until the connection ends, then says so.
 pub(super) async fn run(id: u64, endpoint: SocketAddr, dial: Micros, line: Rc<Line>, inbox: Rc<Inbox>) {
-    let result = match limited(Duration::from_micros(dial), Async::<TcpStream>::connect(endpoint)).await {
-        Ok(stream) => write(&stream, &line).or(read(&stream, id, &inbox)).await,
-        Err(error) => Err(error),
+    let end = match limited(Duration::from_micros(dial), Async::<TcpStream>::connect(endpoint)).await {
+        Ok(stream) => {
+            let written = async { LineEvent::Down(write(&stream, &line).await) };
+            let read = async { read(&stream, id, &inbox).await.unwrap_or_else(LineEvent::Down) };
+            written.or(read).await
+        }
+        Err(error) => LineEvent::Down(error),
     };
-    let why = result.err().map_or_else(|| "closed".to_owned(), |e| e.to_string());
-    inbox.put(Input::Line(id, LineEvent::Down(why)));
+    inbox.put(Input::Line(id, end));
 }
 
-async fn write(mut stream: &Async<TcpStream>, line: &Line) -> io::Result<()> {
-    stream.get_ref().set_nodelay(true)?;
+/// Writes until that fails.
+async fn write(mut stream: &Async<TcpStream>, line: &Line) -> io::Error {
+    if let Err(error) = stream.get_ref().set_nodelay(true) {
+        return error;
+    }
     loop {
         let frame = line.next().await;
-        stream.write_all(&frame).await?;
+        if let Err(error) = stream.write_all(&frame).await {
+            return error;
+        }
         line.written();
     }
 }
 
-async fn read(mut stream: &Async<TcpStream>, id: u64, inbox: &Inbox) -> io::Result<()> {
+/// Reads until the connection ends, and tells how.
+async fn read(mut stream: &Async<TcpStream>, id: u64, inbox: &Inbox) -> io::Result<LineEvent> {
     let mut input = Vec::new();
     let mut chunk = [0; 8192];
     loop {
         let mut used = 0;
-        // A frame that cannot be read leaves no way to find the next: the connection ends.
-        while let Some((message, length)) =
-            frame::decode(&input[used..]).map_err(|bad| io::Error::other(format!("bad frame: {}", bad.0)))?
-        {
-            used += length;
-            inbox.put(Input::Line(id, LineEvent::Frame(message)));
+        loop {
+            match frame::decode(&input[used..]) {
+                Ok(None) => break,
+                Ok(Some((message, length))) => {
+                    used += length;
+                    inbox.put(Input::Line(id, LineEvent::Frame(message)));
+                }
+                Err(bad) => return Ok(LineEvent::Bad(bad)),
+            }
         }
         input.drain(..used);
         match stream.read(&mut chunk).await? {
-            0 => return Ok(()),
+            0 => return Err(io::ErrorKind::UnexpectedEof.into()),
             n => input.extend(&chunk[..n]),
         }
     }
--- a/ploverport/src/upstream/mod.rs
+++ b/ploverport/src/upstream/mod.rs
@@ -290,6 +290,14 @@
                 }
                 self.lose(now, id);
             }
+            LineEvent::Bad(bad) => {
+                let out = conn.out.len();
+                log::warn(
+                    "upstream_bad_frame",
+                    &[("server", &conn.server.0), ("error", &bad.0), ("out", &out)],
+                );
+                self.lose(now, id);
+            }
         }
     }
 
@@ -402,6 +410,10 @@
         pool.take_ended(now).iter().map(|e| e.outcome).collect()
     }
 
+    fn broken() -> LineEvent {
+        LineEvent::Down(std::io::ErrorKind::ConnectionReset.into())
+    }
+
     fn answer(wire: &str) -> LineEvent {
         let (id, outcome, held) = (wire.to_owned(), Outcome::Served, Some(1.0));
         LineEvent::Frame(FromServer::Answer { id, outcome, held, value: "v".to_owned() })
@@ -467,7 +479,7 @@
         pool.dispatch(0, sends(2, 2));
         let line = pool.conns[&0].line.clone();
         block_on(line.next());
-        pool.hear(20, 0, LineEvent::Down("half-written".to_owned()));
+        pool.hear(20, 0, broken());
         assert_eq!(outcomes(&mut pool, 30), [Outcome::NoConnection; 2]);
         pool.dispatch(30, sends(3, 1));
         let (executor, inbox) = (pool.executor.clone(), pool.inbox.clone());
@@ -479,7 +491,7 @@
         };
         async_io::block_on(executor.run(written));
         assert!(!inbox.take().iter().any(|i| matches!(i, Input::Line(1, LineEvent::Down(_)))));
-        pool.hear(40, 1, LineEvent::Down("reset".to_owned()));
+        pool.hear(40, 1, broken());
         assert_eq!(outcomes(&mut pool, 30), [Outcome::ConnectionLost]);
     }
 
--- a/ploverport/tests/scenarios.rs
+++ b/ploverport/tests/scenarios.rs
@@ -8,6 +8,8 @@
 //! servers N                    N data servers, each holding all four shards; 1 if not given
 //! dead sN                      nothing listens there
 //! max-open N                   most queries and parts
+//! sockets N                    most descriptors
+//! open N                       clients idle0, idle1 ..., each of which has asked whether the program is ready
 //! send cN ask ID CLASS SHARDS DEADLINE
 //! send cN raw TEXT             with \r, \n and the like; `*N` after it repeats the last character
 //! send sN good|bad|later ID [VALUE]        send sN raw TEXT
@@ -129,6 +131,7 @@
     peers: BTreeMap<String, Peer>,
     dead: Vec<String>,
     max_open: Option<u64>,
+    sockets: Option<u64>,
     program: Option<Program>,
     seen: VecDeque<String>,
 }
@@ -138,6 +141,7 @@
         match words {
             ["servers", n] => (0..n.parse().unwrap()).for_each(|n: usize| self.listen(&format!("s{n}"))),
             ["dead", server] => self.dead.push((*server).to_owned()),
+            ["sockets", n] => self.sockets = Some(n.parse().unwrap()),
             ["max-open", n] => self.max_open = Some(n.parse().unwrap()),
             _ => {
                 if self.program.is_none() {
@@ -181,6 +185,13 @@
                         assert!(answer.starts_with(&format!("HTTP/1.1 {status} ")), "{answer}");
                         words.iter().for_each(|w| assert!(answer.contains(w), "no {w} in {answer}"));
                     }
+                    ["open", n] => {
+                        for n in 0..n.parse::<usize>().unwrap() {
+                            let client = self.peer(&format!("idle{n}"));
+                            client.send(b"GET /-/ready HTTP/1.1\r\n\r\n");
+                            assert!(client.http().starts_with("HTTP/1.1 200 "));
+                        }
+                    }
                     ["close", who] => drop(self.peers.remove(*who)),
                     ["wait", ms] => std::thread::sleep(Duration::from_millis(ms.parse().unwrap())),
                     ["signal", name] => {
@@ -221,7 +232,7 @@
         }
         let discovery = self.listeners["d"].local_addr().unwrap().to_string();
         let config = json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery,
-            "seed": "8c1f30d27a5be964", "limits": {"sockets": 1024}, "settings": settings,
+            "seed": "8c1f30d27a5be964", "limits": {"sockets": self.sockets.unwrap_or(1024)}, "settings": settings,
             "known": {"rev": 1, "all": true, "targets": targets}});
         let file = std::env::temp_dir().join(format!("ploverport-{}-{}.json", std::process::id(), discovery));
         std::fs::write(&file, config.to_string()).unwrap();
