Ask for the whole list where discovery does not take our version

Seen: reading discovery.rs session: after any status but 200 the same watch was sent for ever; a discovery that lost its data would have left the list as it was until a restart. Now the next call asks for the whole list.

Moved: limited() to clock.rs, which owns time; broker::run no longer takes a callback that nothing used.

--- a/ploverport/src/broker.rs
+++ b/ploverport/src/broker.rs
@@ -18,7 +18,7 @@
 use futures_lite::{FutureExt, StreamExt};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::TcpListener;
 use std::rc::Rc;
 
 /// After a request to end, new connections are taken for this long: fronts notice late.
@@ -48,8 +48,8 @@
     leaving_since: Option<Micros>,
 }
 
-/// Runs a broker until it is told to end. `started` is told where it listens.
-pub fn run(config: Config, started: impl FnOnce(SocketAddr)) -> io::Result<()> {
+/// Runs a broker until it is told to end.
+pub fn run(config: Config) -> io::Result<()> {
     let executor = Rc::new(LocalExecutor::new());
     let inbox = Rc::new(Inbox::default());
     let clock = Clock::start();
@@ -64,9 +64,8 @@
             }
         })
         .detach();
-    let client_sockets = config.client_sockets;
-    let front = Front::new(inbox.clone(), config.settings.clone(), config.names.clone(), client_sockets);
-    let front = Rc::new(front);
+    let (settings, names) = (config.settings.clone(), config.names.clone());
+    let front = Rc::new(Front::new(inbox.clone(), settings, names, config.client_sockets));
     let mut broker = Broker {
         clock,
         zones: config.names.zones,
@@ -84,7 +83,6 @@
     broker.learn(clock.now(), ListScope::Known, &config.known);
     executor.spawn(discovery::watch(config.discovery, rev, inbox)).detach();
     log::info("started", &[("name", &config.name), ("listen", &listen), ("rev", &rev)]);
-    started(listen);
     async_io::block_on(executor.run(async {
         broker.turns(listener, &executor).await;
     }));
--- a/ploverport/src/clock.rs
+++ b/ploverport/src/clock.rs
@@ -1,5 +1,8 @@
 //! Time: whole microseconds on the monotonic clock, counted from the start of the program.
 
+use async_io::Timer;
+use futures_lite::FutureExt;
+use std::io;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// A moment on the program's clock, or a span of it, in microseconds.
@@ -41,6 +44,15 @@
     (ms.max(0.0) * MILLI as f64).round() as Micros
 }
 
+/// Ends a wait with an error once its time is over.
+pub async fn limited<T>(time: Duration, work: impl Future<Output = io::Result<T>>) -> io::Result<T> {
+    let late = async {
+        Timer::after(time).await;
+        Err(io::ErrorKind::TimedOut.into())
+    };
+    work.or(late).await
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/ploverport/src/discovery.rs
+++ b/ploverport/src/discovery.rs
@@ -1,12 +1,12 @@
 //! The list of data servers: begins with what the configuration knows, then watches discovery.
 
-use crate::clock::Clock;
+use crate::clock::{Clock, limited};
 use crate::core::{ListScope, NodeId, NodeState, ServerInfo};
 use crate::http::{self, Decoded};
 use crate::inbox::{Inbox, Input};
 use crate::log;
 use async_io::{Async, Timer};
-use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use serde::Deserialize;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
@@ -86,14 +86,15 @@
 }
 
 /// Watches for ever. A list that cannot be had or read leaves the last one in force.
-pub async fn watch(discovery: SocketAddr, mut rev: u64, inbox: Rc<Inbox>) {
+pub async fn watch(discovery: SocketAddr, rev: u64, inbox: Rc<Inbox>) {
+    let mut rev = Some(rev);
     let mut back_off = BACK_OFF.0;
     loop {
         let error = match session(discovery, &mut rev, &mut back_off, &inbox).await {
             Ok(()) => continue, // closed between two answers, as a server may
             Err(error) => error,
         };
-        log::warn("discovery_failed", &[("error", &error), ("rev", &rev)]);
+        log::warn("discovery_failed", &[("error", &error)]);
         Timer::after(back_off).await;
         back_off = (back_off * 2).min(BACK_OFF.1);
     }
@@ -102,7 +103,7 @@
 /// Watches over one connection until that ends.
 async fn session(
     discovery: SocketAddr,
-    rev: &mut u64,
+    rev: &mut Option<u64>,
     back_off: &mut Duration,
     inbox: &Inbox,
 ) -> io::Result<()> {
@@ -110,16 +111,21 @@
     stream.get_ref().set_nodelay(true)?;
     let mut input = Vec::new();
     loop {
-        let wait = WAIT.as_millis();
         let called = Instant::now();
-        let call = format!("GET /api/targets?index={rev}&wait={wait} HTTP/1.1\r\nHost: {discovery}\r\n\r\n");
+        let (query, time) = match rev {
+            Some(rev) => (format!("?index={rev}&wait={}", WAIT.as_millis()), WAIT + GRACE),
+            None => (String::new(), GRACE),
+        };
+        let call = format!("GET /api/targets{query} HTTP/1.1\r\nHost: {discovery}\r\n\r\n");
         stream.write_all(call.as_bytes()).await?;
-        let message = limited(WAIT + GRACE, answer(&mut stream, &mut input)).await?;
+        let message = limited(time, answer(&mut stream, &mut input)).await?;
         if message.status != 200 {
+            // It may not know our version, as after a loss of its own data: the whole list comes next.
+            *rev = None;
             return Err(io::Error::other(format!("status {}", message.status)));
         }
         let targets: Targets = serde_json::from_slice(&message.body).map_err(io::Error::other)?;
-        *rev = targets.rev;
+        *rev = Some(targets.rev);
         *back_off = BACK_OFF.0;
         if targets.all || !targets.targets.is_empty() {
             inbox.put(Input::Targets(targets));
@@ -148,12 +154,3 @@
         }
     }
 }
-
-/// Ends a wait with an error once its time is over.
-pub async fn limited<T>(time: Duration, work: impl Future<Output = io::Result<T>>) -> io::Result<T> {
-    let late = async {
-        Timer::after(time).await;
-        Err(io::ErrorKind::TimedOut.into())
-    };
-    work.or(late).await
-}
--- a/ploverport/src/front/mod.rs
+++ b/ploverport/src/front/mod.rs
@@ -2,8 +2,8 @@
 
 pub mod query;
 
+use crate::clock::limited;
 use crate::config::Names;
-use crate::discovery::limited;
 use crate::http::{self, Bad, Decoded, Message};
 use crate::inbox::Inbox;
 use crate::log;
--- a/ploverport/src/main.rs
+++ b/ploverport/src/main.rs
@@ -12,7 +12,7 @@
             return ExitCode::FAILURE;
         }
     };
-    match broker::run(config, |_| {}) {
+    match broker::run(config) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             log::error("cannot_start", &[("error", &error)]);
--- a/ploverport/src/upstream/line.rs
+++ b/ploverport/src/upstream/line.rs
@@ -1,8 +1,7 @@
 //! One connection to a data server: what waits to be written, and the task that writes and reads.
 
 use super::frame::{self, BadFrame, FromServer, PartLine};
-use crate::clock::Micros;
-use crate::discovery::limited;
+use crate::clock::{Micros, limited};
 use crate::inbox::{Inbox, Input};
 use async_channel::{Receiver, Sender};
 use async_io::Async;
--- a/ploverport/tests/scenarios.rs
+++ b/ploverport/tests/scenarios.rs
@@ -17,7 +17,7 @@
 //! expect cN STATUS [WORD ...]  an answer that holds these words
 //! expect sN call ID ...        one call of these parts; sN may be `any`
 //! expect sN give-up ID
-//! expect d REV                 a watch from this version on
+//! expect d REV|whole           a watch from this version on, or a call for the whole list
 //! expect log WORD ...          a line of the log that holds these words
 //! expect cN|sN closed          expect exit
 //! close cN|sN|d                wait MILLISECONDS              signal NAME
@@ -167,7 +167,10 @@
                     ["expect", who, "closed"] => self.peer(who).closed(),
                     ["expect", "d", rev] => {
                         let call = self.peer("d").http();
-                        assert!(call.contains(&format!("index={rev}&")), "{call}");
+                        let query =
+                            if *rev == "whole" { String::new() } else { format!("?index={rev}&wait=") };
+                        assert!(call.starts_with(&format!("GET /api/targets{query}")), "{call}");
+                        assert_eq!(call.contains('?'), *rev != "whole", "{call}");
                     }
                     ["expect", who, "call", ids @ ..] => {
                         let who = if *who == "any" { self.called() } else { (*who).to_owned() };
