--- a/ploverport/src/broker.rs
+++ b/ploverport/src/broker.rs
@@ -178,8 +178,8 @@
             }
         }
         for (server, target) in servers.iter().zip(&targets.targets) {
-            let serving = server.state == NodeState::Serving;
-            self.upstream.learn(now, server.name.clone(), serving.then_some(target.endpoint));
+            let endpoint = target.endpoint.filter(|_| server.state == NodeState::Serving);
+            self.upstream.learn(now, server.name.clone(), endpoint);
         }
         self.core.learn(scope, servers);
     }
--- a/ploverport/src/discovery.rs
+++ b/ploverport/src/discovery.rs
@@ -36,8 +36,8 @@
 pub struct Target {
     /// Its name.
     pub uid: String,
-    /// Where it listens, as this broker sees it.
-    pub endpoint: SocketAddr,
+    /// Where it listens, as this broker sees it. One that has left may have none.
+    pub endpoint: Option<SocketAddr>,
     /// Its zone.
     #[serde(default)]
     pub az: String,
@@ -154,3 +154,29 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_list_is_read_with_what_it_leaves_out() {
+        let text = r#"{"rev":43,"all":false,"targets":[
+            {"uid":"a","endpoint":"127.0.0.1:80","az":"y","model":"m","pod_group":3,"state":"leaving","boot_ms":0},
+            {"uid":"b","endpoint":"127.0.0.1:81","az":"?","pod_group":1,"state":"active","boot_ms":1796125500000},
+            {"uid":"c","state":"left"}]}"#;
+        let targets: Targets = serde_json::from_str(text).unwrap();
+        let clock = Clock::start();
+        let servers = targets.servers(&["x".to_owned(), "y".to_owned()], clock);
+        let seen: Vec<_> = servers.iter().map(|s| (s.cell, s.state, s.zone, s.started)).collect();
+        let started = Some(clock.of_unix_ms(1_796_125_500_000));
+        let leaving = (3, NodeState::Draining, Some(1), None);
+        let active = (1, NodeState::Serving, None, started);
+        assert_eq!(seen, [leaving, active, (0, NodeState::Gone, None, None)]);
+        assert_eq!(targets.scope(), ListScope::Changes);
+        assert!(
+            serde_json::from_str::<Targets>(r#"{"rev":1,"all":true,"targets":[{"uid":"a","state":"new"}]}"#)
+                .is_err()
+        );
+    }
+}
