--- a/ploverport/src/broker.rs
+++ b/ploverport/src/broker.rs
@@ -7,7 +7,7 @@
     Report, Verdict,
 };
 use crate::discovery::{self, Targets};
-use crate::front::query::{Ask, PartAsk, Reply};
+use crate::front::query::{Ask, Reply};
 use crate::front::{Front, Stage};
 use crate::inbox::{Inbox, Input};
 use crate::log;
@@ -221,7 +221,7 @@
             tenant: ask.tenant,
             give_up_at: now + ask.patience,
             again: ask.again,
-            parts: ask.parts.iter().map(PartAsk::spec).collect(),
+            parts: ask.parts.clone(),
         };
         let values = vec![None; ask.parts.len()];
         self.pending.insert(id, Pending { ask, reply, values });
--- a/ploverport/src/core.rs
+++ b/ploverport/src/core.rs
@@ -44,7 +44,7 @@
 }
 
 /// What the decisions need to know of a part.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct PartSpec {
     /// Its shard.
     pub shard: usize,
--- a/ploverport/src/front/query.rs
+++ b/ploverport/src/front/query.rs
@@ -29,29 +29,11 @@
     /// The idempotency key, in a keyed class.
     pub key: Option<Rc<str>>,
     /// The parts.
-    pub parts: Vec<PartAsk>,
+    pub parts: Vec<PartSpec>,
     /// What each part has to carry.
     pub text: Rc<str>,
 }
 
-/// One part of what a client asks.
-#[derive(Clone, Debug, PartialEq)]
-pub struct PartAsk {
-    /// The shard.
-    pub shard: usize,
-    /// Its share of the whole answer.
-    pub weight: f64,
-    /// A guess at the work in it.
-    pub hint: Option<Micros>,
-}
-
-impl PartAsk {
-    /// What the decisions need to know of it.
-    pub fn spec(&self) -> PartSpec {
-        PartSpec { shard: self.shard, weight: self.weight, hint: self.hint }
-    }
-}
-
 /// The final answer to a client.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Reply {
@@ -158,7 +140,7 @@
     })
 }
 
-fn parts(ranges: Vec<RangeBody>, shards: usize) -> Result<Vec<PartAsk>, Reply> {
+fn parts(ranges: Vec<RangeBody>, shards: usize) -> Result<Vec<PartSpec>, Reply> {
     if ranges.is_empty() {
         return bad(400, "ranges is empty");
     }
@@ -175,7 +157,7 @@
             return bad(400, "a portion is out of bounds");
         }
         let hint = r.price.filter(|p| p.is_finite() && *p > 0.0).map(|p| p as Micros);
-        parts.push(PartAsk { shard: r.range, weight: r.portion, hint });
+        parts.push(PartSpec { shard: r.range, weight: r.portion, hint });
     }
     Ok(parts)
 }
