--- /dev/null
+++ b/crates/admission/src/lib.rs
@@ -0,0 +1,10 @@
+//! Who may take how much of the broker's room, without I/O or clock.
+//!
+//! [`Shares`] divides the room for queries and parts among connections: an HTTP/1.1 connection has one query in hand,
+//! an HTTP/2 connection may have hundreds, and must not shut out the others. [`budget`] derives how much each front
+//! may hold from the limits of the platform, so that all of them together stay within the memory given to clients.
+
+pub mod budget;
+mod shares;
+
+pub use shares::{Connection, Shares};
--- a/ploverport/src/clock.rs
+++ b/crates/broker/src/clock.rs
@@ -1,16 +1,11 @@
-//! Time: whole microseconds on the monotonic clock, counted from the start of the program.
+//! The program's clock: whole microseconds on the monotonic clock, counted from the start of the program.
 
 use async_io::Timer;
 use futures_lite::FutureExt;
+use plover_model::time::{MILLI, Micros};
 use std::io;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-/// A moment on the program's clock, or a span of it, in microseconds.
-pub type Micros = u64;
-
-/// Microseconds in a millisecond.
-pub const MILLI: Micros = 1000;
-
 /// The program's clock. Copies tell the same time.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
@@ -39,9 +34,9 @@
     }
 }
 
-/// A span given in milliseconds.
-pub fn millis(ms: f64) -> Micros {
-    (ms.max(0.0) * MILLI as f64).round() as Micros
+/// A span as the system's timers count it.
+pub fn span(time: Micros) -> Duration {
+    Duration::from_micros(time)
 }
 
 /// Ends a wait with an error once its time is over.
@@ -64,10 +59,4 @@
         assert_eq!(clock.of_unix_ms(999_000), -1_000_000);
         assert_eq!(clock.of_unix_ms(i64::MIN), i64::MIN);
     }
-
-    #[test]
-    fn spans_round_to_whole_microseconds() {
-        assert_eq!(millis(1.2345), 1235);
-        assert_eq!(millis(-3.0), 0);
-    }
 }
--- /dev/null
+++ b/crates/broker/src/front/accept.rs
@@ -0,0 +1,62 @@
+//! Taking connections, for every front alike.
+
+use super::seats::{Seat, Seats};
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use futures_lite::future::yield_now;
+use std::net::{TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+use tracing::warn;
+
+/// Wait after a failed accept, which is mostly for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// What is done with a connection.
+pub(super) trait Serve: 'static {
+    /// The front's seats.
+    fn seats(&self) -> &Rc<Seats>;
+    /// Serves a connection to its end.
+    fn serve(self: Rc<Self>, stream: Async<TcpStream>, seat: Seat) -> impl Future<Output = ()>;
+    /// Tells a client that there is no room for it. Nothing is waited for.
+    fn turn_away(&self, stream: &Async<TcpStream>);
+}
+
+/// Accepts connections until dropped.
+pub(super) async fn accept<S: Serve>(
+    front: Rc<S>,
+    listener: Rc<Async<TcpListener>>,
+    executor: Rc<LocalExecutor<'static>>,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) if front.seats().make_room().await => take(&front, stream, &executor),
+            Ok((stream, _)) => front.turn_away(&stream),
+            Err(error) => {
+                warn!(name: "accept_failed", error = %error);
+                Timer::after(ACCEPT_PAUSE).await;
+            }
+        }
+        // A flood of connections must not keep the one thread from those that are open.
+        yield_now().await;
+    }
+}
+
+/// Takes the connections that the system has accepted: their requests count as taken.
+pub(super) fn accept_rest<S: Serve>(
+    front: &Rc<S>,
+    listener: &Async<TcpListener>,
+    executor: &LocalExecutor<'static>,
+) {
+    while let Some(seat) = front.seats().try_take()
+        && let Ok((stream, _)) = listener.get_ref().accept()
+        && let Ok(stream) = Async::new(stream)
+    {
+        executor.spawn(front.clone().serve(stream, seat)).detach();
+    }
+}
+
+fn take<S: Serve>(front: &Rc<S>, stream: Async<TcpStream>, executor: &LocalExecutor<'static>) {
+    let seat = front.seats().take();
+    executor.spawn(front.clone().serve(stream, seat)).detach();
+}
--- /dev/null
+++ b/crates/broker/src/front/http1.rs
@@ -0,0 +1,222 @@
+//! HTTP/1.1 connections: one task each reads a request, waits for its one final answer, and writes it.
+
+use super::accept::Serve;
+use super::seats::{Rank, Seat, Seats};
+use super::{Shared, Stage};
+use crate::clock::limited;
+use crate::net::{linger, read_some};
+use async_io::{Async, Timer};
+use futures_lite::future::yield_now;
+use futures_lite::{AsyncWriteExt, FutureExt};
+use http::{Method, Request, Version};
+use plover_admission::Connection;
+use plover_http1::{Fault, Limits, Message, Reader, RequestDecoder, Step, encode_response};
+use plover_model::query::Reply;
+use plover_query::{BODY_CAP, HEAD_CAP, Response, Routed, final_answer, refuse_connection};
+use std::io::{self, Write};
+use std::net::{Shutdown, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// A request that has begun must be all there, and an answer taken, within this time: a client that trickles
+/// would else hold its connection for ever.
+const MESSAGE_TIME: Duration = Duration::from_secs(10);
+/// A connection without a request, or one whose request does not go on, is closed after this time. Clients open
+/// connections in order to speak, and those that keep them for good would fill all seats with silence.
+const SILENCE: Duration = Duration::from_secs(2);
+/// How much may be read ahead while an answer is awaited.
+const AHEAD: usize = HEAD_CAP;
+/// What a request may take.
+const LIMITS: Limits = Limits { head: HEAD_CAP, body: BODY_CAP };
+
+/// The front of HTTP/1.1.
+pub struct Http1 {
+    shared: Rc<Shared>,
+    seats: Rc<Seats>,
+}
+
+/// How the reading of a request ended.
+enum Read {
+    Whole(Box<Message<Request<Vec<u8>>>>),
+    Bad(Fault),
+}
+
+impl Serve for Http1 {
+    fn seats(&self) -> &Rc<Seats> {
+        &self.seats
+    }
+
+    /// An error is the client's going away, which its ticket has told.
+    async fn serve(self: Rc<Self>, stream: Async<TcpStream>, _seat: Seat) {
+        let _ = self.connection(stream).await;
+    }
+
+    fn turn_away(&self, stream: &Async<TcpStream>) {
+        let response = self.shared.dated(refuse_connection(&self.shared.settings));
+        let _ = stream.get_ref().write(&encode_response(&response, LAST));
+        let _ = stream.get_ref().shutdown(Shutdown::Write);
+    }
+}
+
+/// The reader of an answer that ends its connection.
+const LAST: Reader = Reader { version: Version::HTTP_11, head_only: false, keep_alive: false };
+
+impl Http1 {
+    /// A front that holds so many connections at most.
+    pub fn new(shared: Rc<Shared>, most: usize) -> Self {
+        Http1 { shared, seats: Seats::new(most) }
+    }
+
+    /// Open connections.
+    pub fn open(&self) -> usize {
+        self.seats.open()
+    }
+
+    /// Closes the connections that are idle.
+    pub(super) fn close_idle(&self) {
+        self.seats.close_idle();
+    }
+
+    async fn connection(&self, stream: Async<TcpStream>) -> io::Result<()> {
+        stream.get_ref().set_nodelay(true)?;
+        let mut input = Vec::new();
+        let mut decoder = RequestDecoder::new(LIMITS);
+        let mut served = false;
+        let number = self.shared.next_connection();
+        loop {
+            if input.is_empty() && !self.first_bytes(&stream, &mut input, served).await? {
+                return Ok(());
+            }
+            let message = match self.request(&stream, &mut decoder, &mut input, served).await {
+                Ok(Read::Whole(message)) => message,
+                Ok(Read::Bad(fault)) => return self.reject(&stream, fault.status(), fault.why()).await,
+                Err(e) if e.kind() == io::ErrorKind::TimedOut => {
+                    return self.reject(&stream, 408, "the request did not come in time").await;
+                }
+                Err(e) => return Err(e),
+            };
+            let (response, usable) = self.answer(number, &message.value, &stream, &mut input).await?;
+            let reader = Reader {
+                version: message.value.version(),
+                head_only: message.value.method() == Method::HEAD,
+                keep_alive: message.keep_alive && self.shared.stage() == Stage::Serving,
+            };
+            write(&stream, &encode_response(&self.shared.dated(response), reader)).await?;
+            if !reader.keep_alive {
+                return if input.is_empty() { Ok(()) } else { linger(&stream).await };
+            }
+            served |= usable;
+            if input.is_empty() {
+                // An idle connection holds no memory but its own.
+                input = Vec::new();
+            }
+            // A client that sends without end must not keep the one thread from all others.
+            yield_now().await;
+        }
+    }
+
+    /// Waits, idle, for a request to begin. False: the connection is to end.
+    async fn first_bytes(
+        &self,
+        stream: &Async<TcpStream>,
+        input: &mut Vec<u8>,
+        served: bool,
+    ) -> io::Result<bool> {
+        if self.shared.stage() == Stage::Closing {
+            // What is there already has been taken: it is read and answered.
+            return Ok(read_some(stream, input).or(async { Ok(0) }).await? > 0);
+        }
+        let spare = self.seats.spare(if served { Rank::Served } else { Rank::Fresh });
+        let silent = Timer::after(if served { self.seats.idle_time() } else { SILENCE });
+        let end = async {
+            spare.closed().or(async { _ = silent.await }).await;
+            Ok(0)
+        };
+        // A request that came beside the closing is taken: reading goes first.
+        Ok(read_some(stream, input).or(end).await? > 0)
+    }
+
+    /// Reads a request that has begun.
+    async fn request(
+        &self,
+        stream: &Async<TcpStream>,
+        decoder: &mut RequestDecoder,
+        input: &mut Vec<u8>,
+        served: bool,
+    ) -> io::Result<Read> {
+        let read = limited(MESSAGE_TIME, read_request(stream, decoder, input));
+        if served {
+            return read.await;
+        }
+        let spare = self.seats.spare(Rank::Beginning);
+        let evicted = async {
+            spare.closed().await;
+            Err(io::ErrorKind::ConnectionAborted.into())
+        };
+        read.or(evicted).await
+    }
+
+    /// The answer to a request, and whether that could be used.
+    async fn answer(
+        &self,
+        number: Connection,
+        request: &Request<Vec<u8>>,
+        stream: &Async<TcpStream>,
+        input: &mut Vec<u8>,
+    ) -> io::Result<(Response, bool)> {
+        let ask = match self.shared.route(request) {
+            Routed::Query(ask) => ask,
+            Routed::Answered { response, usable } => return Ok((response, usable)),
+        };
+        let ticket = self.shared.inbox.ask(number, ask);
+        let reply = async {
+            let reply = ticket.reply().await;
+            Ok((final_answer(&reply), !matches!(reply, Reply::Bad { .. })))
+        };
+        let gone = async {
+            // Clients send one request at a time; one that sends ahead is read on only so far.
+            while input.len() < AHEAD {
+                if read_some(stream, input).await? == 0 {
+                    return Err(io::ErrorKind::UnexpectedEof.into());
+                }
+            }
+            futures_lite::future::pending().await
+        };
+        reply.or(gone).await
+    }
+
+    /// Answers a request whose framing is lost, and ends its connection.
+    async fn reject(&self, stream: &Async<TcpStream>, status: u16, why: &str) -> io::Result<()> {
+        let response = final_answer(&Reply::Bad { status, why: why.to_owned() });
+        write(stream, &encode_response(&self.shared.dated(response), LAST)).await?;
+        linger(stream).await
+    }
+}
+
+async fn read_request(
+    stream: &Async<TcpStream>,
+    decoder: &mut RequestDecoder,
+    input: &mut Vec<u8>,
+) -> io::Result<Read> {
+    let mut told = false;
+    loop {
+        match decoder.step(input) {
+            Err(fault) => return Ok(Read::Bad(fault)),
+            Ok(Step::Whole(message)) => return Ok(Read::Whole(Box::new(message))),
+            Ok(Step::More(waits)) => {
+                if waits && !told {
+                    told = true;
+                    write(stream, b"HTTP/1.1 100 Continue\r\n\r\n").await?;
+                }
+                if limited(SILENCE, read_some(stream, input)).await? == 0 {
+                    return Err(io::ErrorKind::UnexpectedEof.into());
+                }
+                yield_now().await;
+            }
+        }
+    }
+}
+
+async fn write(mut stream: &Async<TcpStream>, bytes: &[u8]) -> io::Result<()> {
+    limited(MESSAGE_TIME, stream.write_all(bytes)).await
+}
--- /dev/null
+++ b/crates/broker/src/front/mod.rs
@@ -0,0 +1,226 @@
+//! The fronts: clients' connections, in every version of HTTP that is spoken here.
+//!
+//! What a request means is known by `plover_query`; a front reads requests, hands what they ask to the [`Inbox`],
+//! and writes the one final answer. All fronts share a [`Shared`].
+
+mod accept;
+mod http1;
+mod http2;
+mod seats;
+
+pub use http1::Http1;
+pub use http2::Http2;
+
+use crate::clock::Clock;
+use crate::inbox::Inbox;
+use async_channel::{Receiver, Sender};
+use async_executor::{LocalExecutor, Task};
+use async_io::Async;
+use brookbend::api::Settings;
+use http::header::{DATE, HeaderValue};
+use plover_admission::{Connection, budget};
+use plover_model::query::Names;
+use plover_query::{Response, Routed, date, route};
+use std::cell::{Cell, RefCell};
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime};
+
+/// Where the program is in its life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Stage {
+    /// It serves.
+    Serving,
+    /// It is to end: it serves what still comes, but is no longer ready.
+    Leaving,
+    /// It takes no new connections, and closes each once it is idle.
+    Closing,
+}
+
+/// What all fronts share.
+pub struct Shared {
+    inbox: Rc<Inbox>,
+    settings: Settings,
+    names: Names,
+    stage: Cell<Stage>,
+    /// Closed, and replaced, when the stage changes.
+    moved: RefCell<(Sender<()>, Receiver<()>)>,
+    connections: Cell<Connection>,
+    /// The `Date` field of this second, and when that began.
+    date: RefCell<(Instant, HeaderValue)>,
+}
+
+impl Shared {
+    /// For a program that serves.
+    pub fn new(inbox: Rc<Inbox>, settings: Settings, names: Names) -> Rc<Self> {
+        let date = RefCell::new((Instant::now(), date(SystemTime::now())));
+        let (stage, connections) = (Cell::new(Stage::Serving), Cell::new(0));
+        let moved = RefCell::new(async_channel::bounded(1));
+        Rc::new(Shared { inbox, settings, names, stage, moved, connections, date })
+    }
+
+    fn stage(&self) -> Stage {
+        self.stage.get()
+    }
+
+    fn set_stage(&self, stage: Stage) {
+        self.stage.set(stage);
+        *self.moved.borrow_mut() = async_channel::bounded(1);
+    }
+
+    /// Waits until the stage is another.
+    fn moved_on(&self) -> impl Future<Output = ()> + 'static {
+        let moved = self.moved.borrow().1.clone();
+        async move { _ = moved.recv().await }
+    }
+
+    /// A number for a connection, which it keeps.
+    fn next_connection(&self) -> Connection {
+        self.connections.set(self.connections.get() + 1);
+        self.connections.get()
+    }
+
+    fn route(&self, request: &http::Request<Vec<u8>>) -> Routed {
+        route(request, self.stage() == Stage::Serving, &self.names, &self.settings)
+    }
+
+    /// With the time at which the answer is made (RFC 9110, section 6.6.1).
+    fn dated(&self, mut response: Response) -> Response {
+        let mut current = self.date.borrow_mut();
+        if current.0.elapsed() >= Duration::from_secs(1) {
+            *current = (Instant::now(), date(SystemTime::now()));
+        }
+        response.headers_mut().insert(DATE, current.1.clone());
+        response
+    }
+}
+
+/// One front with its listener and what accepts on it; taken when that is to end, so that later connections are
+/// refused.
+struct Listening<S> {
+    front: Rc<S>,
+    accepting: Option<(Task<()>, Rc<Async<TcpListener>>)>,
+}
+
+impl<S: accept::Serve> Listening<S> {
+    fn start(front: S, listener: Async<TcpListener>, executor: &Rc<LocalExecutor<'static>>) -> Self {
+        let (front, listener) = (Rc::new(front), Rc::new(listener));
+        let task = executor.spawn(accept::accept(front.clone(), listener.clone(), executor.clone()));
+        Listening { front, accepting: Some((task, listener)) }
+    }
+
+    /// Takes what the system has accepted, and no more.
+    async fn close(&mut self, executor: &LocalExecutor<'static>) {
+        if let Some((task, listener)) = self.accepting.take() {
+            task.cancel().await;
+            accept::accept_rest(&self.front, &listener, executor);
+        }
+    }
+}
+
+/// The fronts, with their listeners.
+pub struct Fronts {
+    shared: Rc<Shared>,
+    executor: Rc<LocalExecutor<'static>>,
+    http1: Listening<Http1>,
+    http2: Option<Listening<Http2>>,
+}
+
+/// Where a front listens, and what it may hold.
+pub struct Plan {
+    /// Where clients with HTTP/1.1 connect.
+    pub http1: Async<TcpListener>,
+    /// Where those with HTTP/2 do.
+    pub http2: Option<Async<TcpListener>>,
+    /// What both may hold.
+    pub limits: budget::Fronts,
+}
+
+impl Fronts {
+    /// Accepts from now on.
+    pub fn start(shared: Rc<Shared>, plan: Plan, clock: Clock, executor: Rc<LocalExecutor<'static>>) -> Self {
+        let http1 = Http1::new(shared.clone(), plan.limits.http1_connections);
+        let http1 = Listening::start(http1, plan.http1, &executor);
+        let http2 = plan.http2.zip(plan.limits.http2).map(|(listener, limits)| {
+            Listening::start(Http2::new(shared.clone(), limits, clock), listener, &executor)
+        });
+        Fronts { shared, executor, http1, http2 }
+    }
+
+    /// Takes other limits, where that is possible while the program runs.
+    pub fn set_limits(&self, limits: budget::Fronts) {
+        if let (Some(http2), Some(limits)) = (&self.http2, limits.http2) {
+            http2.front.set_limits(limits);
+        }
+    }
+
+    /// The program is to end: what still comes is served.
+    pub fn leave(&self) {
+        self.shared.set_stage(Stage::Leaving);
+    }
+
+    /// Takes what the system has accepted, but no new connections from now on.
+    pub async fn close(&mut self) {
+        if self.is_closing() {
+            return;
+        }
+        self.http1.close(&self.executor).await;
+        if let Some(http2) = &mut self.http2 {
+            http2.close(&self.executor).await;
+        }
+        self.shared.set_stage(Stage::Closing);
+        self.http1.front.close_idle();
+    }
+
+    /// Whether new connections are no longer taken.
+    pub fn is_closing(&self) -> bool {
+        self.http1.accepting.is_none()
+    }
+
+    /// Open connections.
+    pub fn open(&self) -> usize {
+        self.http1.front.open() + self.http2.as_ref().map_or(0, |h| h.front.open())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::seats::{Rank, Seats};
+    use super::*;
+    use crate::clock::limited;
+    use brookbend::settings::{Message, decode};
+    use futures_lite::future::yield_now;
+    use std::net::TcpStream;
+
+    /// One that was to make room may get a request in the same moment and stay; accepting waited for its end,
+    /// and new connections were not taken meanwhile.
+    #[test]
+    fn accepting_goes_on_where_one_that_was_to_make_room_stays() {
+        let settings: serde_json::Value =
+            serde_json::from_str(include_str!("../../../model/tests/settings.json")).unwrap();
+        let site = decode(&Message::new("settings", settings.as_object().unwrap())).unwrap();
+        let shared = Shared::new(Rc::default(), site.settings, Names::default());
+        let executor = Rc::new(LocalExecutor::new());
+        let front = Rc::new(Http1::new(shared, 2));
+        let seats: Rc<Seats> = accept::Serve::seats(&*front).clone();
+        let stays = seats.take();
+        let _stays = seats.spare(Rank::Fresh);
+        let (leaving, seat) = (seats.clone(), seats.take());
+        let leaves = executor.spawn(async move {
+            leaving.spare(Rank::Served).closed().await;
+            drop(seat);
+        });
+        let listener = Rc::new(Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap());
+        let _client = TcpStream::connect(listener.get_ref().local_addr().unwrap()).unwrap();
+        let _accept = executor.spawn(accept::accept(front.clone(), listener, executor.clone()));
+        let taken = async {
+            leaves.await;
+            while front.open() < 2 {
+                yield_now().await;
+            }
+            Ok(())
+        };
+        async_io::block_on(executor.run(limited(Duration::from_secs(30), taken))).unwrap();
+        drop(stays);
+    }
+}
--- /dev/null
+++ b/crates/broker/src/front/seats.rs
@@ -0,0 +1,181 @@
+//! Seats for client connections: how many there are, and who makes room when they run out.
+
+use async_channel::{Receiver, Sender};
+use async_io::Timer;
+use futures_lite::FutureExt;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tracing::warn;
+
+/// A connection that has served a request may be idle for so long, and for as long as the second once more than
+/// this share of the seats is taken: clients that ask once and keep their connection for good take descriptors
+/// here, and at their own end from those who want to ask.
+pub(super) const IDLE: Duration = Duration::from_secs(2);
+pub(super) const IDLE_PRESSED: Duration = Duration::from_millis(250);
+const PRESSED: (usize, usize) = (1, 4);
+/// Longest wait for a connection to make room before another is asked to.
+const ROOM_PAUSE: Duration = Duration::from_millis(5);
+/// Longest wait for room: then a new client is told that there is none, and can try another broker.
+const ROOM_TIME: Duration = Duration::from_millis(250);
+
+/// Which connections make room first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Rank {
+    /// Nothing that can be used has come.
+    Fresh,
+    /// Idle, and served before: its client is a usual one, which can open another.
+    Served,
+    /// In the middle of its first request: one who is just slow would fail, but half requests must not hold
+    /// all seats.
+    Beginning,
+}
+
+/// The seats of one front.
+pub(super) struct Seats {
+    most: usize,
+    open: Cell<usize>,
+    next: Cell<u64>,
+    /// Of each connection that may be closed for want of room, its rank and age there: dropping the sender closes
+    /// it, the first one first.
+    spare: RefCell<BTreeMap<(Rank, u64), Sender<()>>>,
+    /// Rung when a connection ends.
+    room: (Sender<()>, Receiver<()>),
+}
+
+/// Counts a connection for as long as it lives.
+pub(super) struct Seat(Rc<Seats>);
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+        let _ = self.0.room.0.try_send(());
+    }
+}
+
+/// A place among the connections that may be closed, held until dropped.
+pub(super) struct Spare<'a> {
+    seats: &'a Seats,
+    key: (Rank, u64),
+    closed: Receiver<()>,
+}
+
+impl Spare<'_> {
+    /// Waits until the connection is to make room.
+    pub(super) async fn closed(&self) {
+        let _: Result<(), _> = self.closed.recv().await;
+    }
+}
+
+impl Drop for Spare<'_> {
+    fn drop(&mut self) {
+        self.seats.spare.borrow_mut().remove(&self.key);
+    }
+}
+
+impl Seats {
+    /// So many connections at most.
+    pub(super) fn new(most: usize) -> Rc<Self> {
+        Rc::new(Seats {
+            most,
+            open: Cell::new(0),
+            next: Cell::new(0),
+            spare: RefCell::default(),
+            room: async_channel::bounded(1),
+        })
+    }
+
+    /// Connections that are open.
+    pub(super) fn open(&self) -> usize {
+        self.open.get()
+    }
+
+    /// Takes a seat, whoever else is there.
+    pub(super) fn take(self: &Rc<Self>) -> Seat {
+        self.open.set(self.open.get() + 1);
+        Seat(self.clone())
+    }
+
+    /// Takes a seat if one is free.
+    pub(super) fn try_take(self: &Rc<Self>) -> Option<Seat> {
+        (self.open.get() < self.most).then(|| self.take())
+    }
+
+    /// Full: others make room for one that has come. False: none did.
+    pub(super) async fn make_room(&self) -> bool {
+        let start = Instant::now();
+        while self.open.get() >= self.most {
+            let _ = self.room.1.try_recv(); // rung when there was room still
+            let evicted = self.spare.borrow_mut().pop_first().is_some();
+            warn!(name: "front_full", open = self.open.get(), evicted);
+            if start.elapsed() >= ROOM_TIME {
+                return false;
+            }
+            // Not for ever: what was to make room may have got a request in the same moment, and stay.
+            let pause = async { _ = Timer::after(ROOM_PAUSE).await };
+            async { _ = self.room.1.recv().await }.or(pause).await;
+        }
+        true
+    }
+
+    /// Lets the connection be closed for want of room.
+    pub(super) fn spare(&self, rank: Rank) -> Spare<'_> {
+        let key = (rank, self.next.get());
+        self.next.set(key.1 + 1);
+        let (stay, closed) = async_channel::bounded(1);
+        self.spare.borrow_mut().insert(key, stay);
+        Spare { seats: self, key, closed }
+    }
+
+    /// Closes all that are idle; those in the middle of a request go on.
+    pub(super) fn close_idle(&self) {
+        self.spare.borrow_mut().retain(|(rank, _), _| *rank == Rank::Beginning);
+    }
+
+    /// How long a connection that has served may be idle.
+    pub(super) fn idle_time(&self) -> Duration {
+        let pressed = self.open.get() * PRESSED.1 > self.most * PRESSED.0;
+        if pressed { IDLE_PRESSED } else { IDLE }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Clients that ask once and stay hold their own descriptors too: those of all clients then run out long before
+    /// ours, and new requests never leave them.
+    #[test]
+    fn idle_connections_end_sooner_where_many_are_open() {
+        let seats = Seats::new(100);
+        let times = [0, 25, 26, 100].map(|open| {
+            seats.open.set(open);
+            seats.idle_time()
+        });
+        assert_eq!(times, [IDLE, IDLE, IDLE_PRESSED, IDLE_PRESSED]);
+    }
+
+    /// A flood that says nothing must not push out usual clients, and half requests must not hold all seats.
+    #[test]
+    fn room_is_made_by_those_who_have_asked_least() {
+        let seats = Seats::new(4);
+        let ranks = [Rank::Beginning, Rank::Served, Rank::Fresh, Rank::Served];
+        let spares = ranks.map(|rank| seats.spare(rank));
+        let closed = || spares.each_ref().map(|s| s.closed.is_closed());
+        let mut order = Vec::new();
+        while seats.spare.borrow_mut().pop_first().is_some() {
+            order.push(closed());
+        }
+        let expected = [
+            [false, false, true, false],
+            [false, true, true, false],
+            [false, true, true, true],
+            [true, true, true, true],
+        ];
+        assert_eq!(order, expected);
+        let again = seats.spare(Rank::Served);
+        drop(again);
+        assert!(seats.spare.borrow().is_empty());
+    }
+}
--- a/ploverport/src/inbox.rs
+++ b/crates/broker/src/inbox.rs
@@ -1,16 +1,17 @@
 //! What the turn loop has yet to see. Tasks on sockets put it in; the loop takes all of it once a turn.
 
-use crate::core::QueryId;
-use crate::discovery::Targets;
-use crate::front::query::{Ask, Reply};
-use crate::upstream::LineEvent;
 use async_channel::{Receiver, Sender};
+use plover_admission::Connection;
+use plover_frames::{BadFrame, FromServer};
+use plover_model::query::{Ask, QueryId, Reply};
+use plover_model::server::Targets;
 use std::cell::{Cell, RefCell};
+use std::io;
 
 /// Something that happened since the last turn.
 pub enum Input {
-    /// A client asks.
-    Ask(QueryId, Ask, Sender<Reply>),
+    /// A client asks, on its connection.
+    Ask(QueryId, Connection, Ask, Sender<Reply>),
     /// The client of a query has gone.
     Gone(QueryId),
     /// A connection to a data server has news.
@@ -23,18 +24,32 @@
     Terminate,
 }
 
+/// News of a connection to a data server.
+pub enum LineEvent {
+    /// A frame has come.
+    Frame(FromServer),
+    /// A frame has begun and is not all there yet.
+    Begun,
+    /// The connection has ended or never came up.
+    Down(io::Error),
+    /// A frame came that cannot be read. The connection has ended: nothing tells where the next one begins.
+    Bad(BadFrame),
+}
+
 /// The queue between the tasks and the turn loop. Its length is bounded by what feeds it: each client
-/// connection has one query at most, and each data server connection answers what is out on it.
+/// connection has so many queries as its front lets it, and each data server connection answers what is out on it.
 pub struct Inbox {
     queue: RefCell<Vec<Input>>,
     bell: (Sender<()>, Receiver<()>),
     next_query: Cell<QueryId>,
+    /// Queries among what waits.
+    asks: Cell<usize>,
 }
 
 impl Default for Inbox {
     fn default() -> Self {
         let bell = async_channel::bounded(1);
-        Inbox { queue: RefCell::default(), bell, next_query: Cell::new(1) }
+        Inbox { queue: RefCell::default(), bell, next_query: Cell::new(1), asks: Cell::new(0) }
     }
 }
 
@@ -45,18 +60,24 @@
         let _ = self.bell.0.try_send(());
     }
     /// Hands in a query; its reply comes once, unless the ticket is dropped before.
-    pub fn ask(&self, ask: Ask) -> Ticket<'_> {
+    pub fn ask(&self, connection: Connection, ask: Ask) -> Ticket<'_> {
         let id = self.next_query.get();
         self.next_query.set(id + 1);
         let (sender, reply) = async_channel::bounded(1);
-        self.put(Input::Ask(id, ask, sender));
+        self.asks.set(self.asks.get() + 1);
+        self.put(Input::Ask(id, connection, ask, sender));
         Ticket { inbox: self, id, reply }
     }
     /// Takes all that is there.
     pub fn take(&self) -> Vec<Input> {
         let _ = self.bell.1.try_recv();
+        self.asks.set(0);
         std::mem::take(&mut *self.queue.borrow_mut())
     }
+    /// Queries that wait to be taken.
+    pub fn asks(&self) -> usize {
+        self.asks.get()
+    }
     /// Waits until something is there.
     pub async fn wait(&self) {
         if self.queue.borrow().is_empty() {
--- a/ploverport/src/net.rs
+++ b/crates/broker/src/net.rs
@@ -2,12 +2,19 @@
 
 use async_io::Async;
 use futures_lite::AsyncRead;
+use futures_lite::future::yield_now;
 use std::future::poll_fn;
 use std::io;
-use std::net::TcpStream;
+use std::net::{Shutdown, TcpStream};
 use std::pin::Pin;
 use std::task::ready;
+use std::time::Duration;
 
+use crate::clock::limited;
+
+/// A connection that the broker ends is read on for this long, so that its last answer is not lost by a reset
+/// (RFC 9112, section 9.6).
+const LINGER: Duration = Duration::from_millis(500);
 /// Steps in which a connection's buffer grows, and the most that one read takes.
 const STEP: usize = 16 * 1024;
 
@@ -29,3 +36,18 @@
     })
     .await
 }
+
+/// Ends a connection whose client may still be sending: unread bytes would make the end a reset.
+pub async fn linger(stream: &Async<TcpStream>) -> io::Result<()> {
+    // The library of HTTP/2 has done so already where it came to an end of its own.
+    let _ = stream.get_ref().shutdown(Shutdown::Write);
+    let mut rest = Vec::new();
+    let drain = async {
+        while read_some(stream, &mut rest).await? > 0 {
+            rest.clear();
+            yield_now().await;
+        }
+        Ok(())
+    };
+    limited(LINGER, drain).await
+}
--- /dev/null
+++ b/crates/broker/src/queries.rs
@@ -0,0 +1,223 @@
+//! The queries in hand: whose they are, what came for them, and what may go out in their name.
+
+use crate::upstream::{Ended, Send};
+use async_channel::Sender;
+use brookbend::api::{Semantics, Settings};
+use plover_admission::{Connection, Shares};
+use plover_core::{Dispatch, Query};
+use plover_model::query::{Ask, AttemptId, QueryId, Reply};
+use plover_model::server::Outcome;
+use plover_model::time::{Micros, millis};
+use plover_repeats::{Proof, Repeats, Verdict};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use tracing::{Span, debug, debug_span, info};
+
+/// Most idempotency keys that are remembered, with two to three hundred bytes each.
+const KEYS: usize = 8192;
+/// Window of a deployment without keyed classes: nothing is ever registered there.
+const NO_WINDOW: Micros = 5_000_000;
+
+/// A query in hand. Dropping it drops the way to its client, so it is dropped with its one reply.
+struct Pending {
+    connection: Connection,
+    ask: Ask,
+    reply: Sender<Reply>,
+    /// The value of each part that is in.
+    values: Vec<Option<String>>,
+    span: Span,
+}
+
+impl Pending {
+    /// The room that it takes: itself and its parts.
+    fn units(&self) -> usize {
+        1 + self.ask.parts.len()
+    }
+}
+
+/// Why a dispatch does not go out.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) enum Held {
+    /// Its query has ended in the same turn.
+    Over,
+    /// The part may have run under this key, and its repeats are no longer dropped.
+    Repeat,
+}
+
+/// The queries in hand.
+pub(crate) struct Queries {
+    pending: BTreeMap<QueryId, Pending>,
+    /// The requests' ids: parts go by them on the wire.
+    ids: BTreeSet<Rc<str>>,
+    shares: Shares,
+    repeats: Repeats,
+    /// Attempts that are out under a key.
+    keyed: BTreeMap<AttemptId, (Rc<str>, usize)>,
+    max_retry_after: Option<Micros>,
+}
+
+impl Queries {
+    /// With room for so many queries and parts.
+    pub(crate) fn new(settings: &Settings, room: usize) -> Self {
+        let window = settings.classes.iter().filter_map(|c| match c.semantics {
+            Semantics::Keyed { window } => Some(millis(window)),
+            _ => None,
+        });
+        let keep = settings.classes.iter().map(|c| millis(c.give_up)).max();
+        Queries {
+            pending: BTreeMap::new(),
+            ids: BTreeSet::new(),
+            shares: Shares::new(room),
+            repeats: Repeats::new(window.min().unwrap_or(NO_WINDOW), keep.unwrap_or(0), KEYS),
+            keyed: BTreeMap::new(),
+            max_retry_after: settings.max_retry_after.map(millis),
+        }
+    }
+
+    /// Queries in hand.
+    pub(crate) fn len(&self) -> usize {
+        self.pending.len()
+    }
+
+    /// Whether there are none.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.pending.is_empty()
+    }
+
+    /// Takes up a query, or answers it at once: `None`.
+    pub(crate) fn admit(
+        &mut self,
+        now: Micros,
+        id: QueryId,
+        connection: Connection,
+        ask: Ask,
+        reply: Sender<Reply>,
+    ) -> Option<Query> {
+        let answered = |reply_with| {
+            let _ = reply.try_send(reply_with);
+            None
+        };
+        // Parts go by the request's id on the wire: those of two requests could not be told apart.
+        if self.ids.contains(&ask.id) {
+            let why = "X-Request-Id is that of a request in hand".to_owned();
+            return answered(Reply::Bad { status: 400, why });
+        }
+        let units = 1 + ask.parts.len();
+        if !self.shares.take(connection, units) {
+            info!(name: "share_full", connection, held = self.shares.held());
+            return answered(Reply::Refused { retry_after: self.max_retry_after });
+        }
+        let give_up_at = now + ask.patience;
+        if let Some(key) = &ask.key {
+            let shards = ask.parts.iter().map(|p| p.shard);
+            let verdict = self.repeats.open(now, key, shards, give_up_at);
+            if verdict != Verdict::Serve {
+                self.shares.give_back(connection, units);
+                info!(name: "key_repeated", connection, id = %ask.id, verdict = ?verdict);
+            }
+            match verdict {
+                Verdict::Serve => {}
+                Verdict::Busy(until) => {
+                    let wait = until.saturating_sub(now);
+                    return answered(Reply::Refused {
+                        retry_after: self.max_retry_after.map(|most| most.min(wait)),
+                    });
+                }
+                Verdict::Over => return answered(Reply::Failed),
+            }
+        }
+        let query = Query {
+            id,
+            class: ask.class,
+            tenant: ask.tenant,
+            give_up_at,
+            again: ask.again,
+            parts: ask.parts.clone(),
+        };
+        let span = debug_span!("query", query = id, connection, id = %ask.id);
+        span.in_scope(|| debug!(name: "query_taken", class = ask.class, parts = ask.parts.len()));
+        self.ids.insert(ask.id.clone());
+        let values = vec![None; ask.parts.len()];
+        self.pending.insert(id, Pending { connection, ask, reply, values, span });
+        Some(query)
+    }
+
+    /// The client has gone. Nothing may be left to free where the reply was on its way already.
+    pub(crate) fn gone(&mut self, now: Micros, query: QueryId) {
+        if let Some(pending) = self.close(now, query, false) {
+            pending.span.in_scope(|| debug!(name: "query_gone", query));
+        }
+    }
+
+    /// Ends a query with its one reply.
+    pub(crate) fn finish(&mut self, now: Micros, query: QueryId, reply: impl FnOnce(Values) -> Reply) {
+        let Some(pending) = self.pending.get_mut(&query) else { return };
+        let values = std::mem::take(&mut pending.values);
+        let shards = pending.ask.parts.iter().map(|p| p.shard);
+        let reply = reply(shards.zip(values).filter_map(|(shard, v)| Some((shard, v?))).collect());
+        let Some(pending) = self.close(now, query, matches!(reply, Reply::Answer { .. })) else { return };
+        pending.span.in_scope(|| debug!(name: "query_ended", reply = ?std::mem::discriminant(&reply)));
+        // A client that has just gone needs none.
+        let _ = pending.reply.try_send(reply);
+    }
+
+    /// The one place where a query is given back.
+    fn close(&mut self, now: Micros, query: QueryId, answered: bool) -> Option<Pending> {
+        let pending = self.pending.remove(&query)?;
+        self.ids.remove(&pending.ask.id);
+        self.shares.give_back(pending.connection, pending.units());
+        if let Some(key) = &pending.ask.key {
+            self.repeats.close(now, key, answered);
+        }
+        Some(pending)
+    }
+
+    /// A dispatch with all that its frame needs.
+    pub(crate) fn outgoing(&mut self, now: Micros, d: Dispatch) -> Result<Send, Held> {
+        let pending = self.pending.get(&d.attempt.query).ok_or(Held::Over)?;
+        let part = pending.ask.parts.get(d.attempt.part).ok_or(Held::Over)?;
+        if let Some(key) = &pending.ask.key {
+            if !self.repeats.may_send(now, key, part.shard) {
+                return Err(Held::Repeat);
+            }
+            self.repeats.sent(now, key, part.shard, d.until);
+            self.keyed.insert(d.attempt, (key.clone(), part.shard));
+        }
+        pending.span.in_scope(
+            || debug!(name: "part_sent", shard = part.shard, attempt = d.attempt.attempt, server = %d.server.0),
+        );
+        Ok(Send {
+            attempt: d.attempt,
+            server: d.server,
+            until: d.until,
+            wire: format!("{}.{}", pending.ask.id, part.shard),
+            shard: part.shard,
+            key: pending.ask.key.clone(),
+            text: pending.ask.text.clone(),
+        })
+    }
+
+    /// Takes the end of an attempt: its value stays here, with its query.
+    pub(crate) fn ended(&mut self, now: Micros, ended: &mut Ended) {
+        if let Some((key, shard)) = self.keyed.remove(&ended.attempt) {
+            let proof = match ended.outcome {
+                Outcome::Served | Outcome::Error => Proof::Ran,
+                Outcome::Full | Outcome::NoConnection | Outcome::NotSent => Proof::NeverRan,
+                Outcome::TimedOut | Outcome::ConnectionLost | Outcome::Cancelled => Proof::MayRun,
+            };
+            self.repeats.ended(now, &key, shard, proof);
+        }
+        let Some(pending) = self.pending.get_mut(&ended.attempt.query) else { return };
+        pending
+            .span
+            .in_scope(|| debug!(name: "part_ended", part = ended.attempt.part, outcome = ?ended.outcome));
+        if let Some(value) = pending.values.get_mut(ended.attempt.part)
+            && ended.outcome == Outcome::Served
+        {
+            *value = ended.value.take();
+        }
+    }
+}
+
+/// Shard and value of each part that is in.
+pub(crate) type Values = Vec<(usize, String)>;
--- a/ploverport/src/broker.rs
+++ b/crates/broker/src/turns.rs
@@ -1,49 +1,48 @@
 //! The turn loop: takes what the sockets brought, asks the decisions, and carries them out.
 
-use crate::clock::{Clock, Micros, millis};
-use crate::config::{self, Config};
-use crate::core::{
-    AttemptId, Core, Decisions, Dispatch, Final, ListScope, NodeId, NodeState, Outcome, Query, QueryId,
-    Report, Verdict,
-};
-use crate::discovery::{Discovery, Targets};
-use crate::front::query::{Ask, Reply};
-use crate::front::{Front, Stage};
+use crate::clock::Clock;
+use crate::discovery::Discovery;
+use crate::front::{Fronts, Plan, Shared};
 use crate::inbox::{Inbox, Input};
-use crate::log;
+use crate::operator::Operator;
+use crate::queries::{Held, Queries};
 use crate::upstream::{Ended, Send, Upstream};
-use async_channel::Sender;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
+use futures_lite::future::yield_now;
 use futures_lite::{FutureExt, StreamExt};
+use plover_admission::budget::{self, Given, divide};
+use plover_config::{self as config, Config};
+use plover_core::{Core, Decisions, Dispatch, Final, Report, Verdict};
+use plover_model::query::{AttemptId, QueryId, Reply};
+use plover_model::server::{ListScope, NodeId, NodeState, Outcome, Targets};
+use plover_model::time::{Micros, millis};
+use plover_pacing::Pacing;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
+use tracing::{info, warn};
 
 /// After a request to end, new connections are taken for this long: fronts notice late.
 const LEAVING: Micros = 600_000;
 
-/// A query in hand. Dropping it drops the way to its client, so it is dropped with its one reply.
-struct Pending {
-    ask: Ask,
-    reply: Sender<Reply>,
-    /// The value of each part that is in.
-    values: Vec<Option<String>>,
-}
-
 /// One broker.
 pub struct Broker {
     clock: Clock,
     zones: Vec<String>,
     tick: Micros,
+    pacing: Pacing,
+    operator: Operator,
+    /// What the platform gives to client connections.
+    clients: Given,
     core: Core,
     upstream: Upstream,
     discovery: Discovery,
     inbox: Rc<Inbox>,
-    front: Rc<Front>,
-    pending: BTreeMap<QueryId, Pending>,
+    fronts: Fronts,
+    queries: Queries,
     /// The turn's dispatches: they go out together at its end.
     dispatches: BTreeMap<AttemptId, Dispatch>,
     ended: Vec<Ended>,
@@ -52,16 +51,30 @@
 
 /// Catches the signals that the program heeds, from now on.
 pub fn signals() -> io::Result<Signals> {
-    Signals::new([Signal::Term, Signal::Hup])
+    Signals::new([Signal::Term, Signal::Int, Signal::Hup])
 }
 
-/// Runs a broker until it is told to end.
-pub fn run(config: Config, mut signals: Signals) -> io::Result<()> {
+/// What the fronts may hold; the error names what does not fit.
+fn limits(clients: Given, operator: &Operator) -> io::Result<budget::Fronts> {
+    divide(clients, operator.http2()).map_err(io::Error::other)
+}
+
+/// Runs a broker until it is told to end; `started` is told where it listens, for HTTP/1.1 and HTTP/2.
+pub fn run(
+    config: Config,
+    operator: Operator,
+    mut signals: Signals,
+    started: impl FnOnce(SocketAddr, Option<SocketAddr>),
+) -> io::Result<()> {
     let executor = Rc::new(LocalExecutor::new());
     let inbox = Rc::new(Inbox::default());
     let clock = Clock::start();
-    let listener = Async::<TcpListener>::bind(config.listen)?;
+    let limits = limits(config.clients, &operator)?;
+    let bind = |address| Async::<TcpListener>::bind(address);
+    let listener = bind(config.listen)?;
     let listen = listener.get_ref().local_addr()?;
+    let http2 = operator.settings().http2.map(|h| bind(h.listen)).transpose()?;
+    let listen_http2 = http2.as_ref().map(|l| l.get_ref().local_addr()).transpose()?;
     let on_signal = inbox.clone();
     executor
         .spawn(async move {
@@ -74,53 +87,55 @@
             }
         })
         .detach();
-    let (settings, names) = (config.settings.clone(), config.names.clone());
-    let front = Rc::new(Front::new(inbox.clone(), settings, names, config.client_sockets));
+    let shared = Shared::new(inbox.clone(), config.settings.clone(), config.names.clone());
+    let plan = Plan { http1: listener, http2, limits };
     let rev = config.known.rev;
+    let tick = millis(config.settings.tick);
     let mut broker = Broker {
         clock,
         zones: config.names.zones,
-        tick: millis(config.settings.tick),
+        tick,
+        pacing: operator.pacing(tick),
+        operator,
+        clients: config.clients,
+        queries: Queries::new(&config.settings, config.max_open),
         core: Core::new(config.settings, config.max_open, config.seed),
         upstream: Upstream::new(executor.clone(), inbox.clone(), config.pool),
         discovery: Discovery::start(executor.clone(), inbox.clone(), config.discovery, rev),
         inbox,
-        front,
-        pending: BTreeMap::new(),
+        fronts: Fronts::start(shared, plan, clock, executor.clone()),
         dispatches: BTreeMap::new(),
         ended: Vec::new(),
         leaving_since: None,
     };
     broker.learn(clock.now(), ListScope::Known, &config.known);
-    log::info("started", &[("name", &config.name), ("listen", &listen), ("rev", &rev)]);
+    info!(name: "started", name = %config.name, listen = %listen, rev);
+    if let (Some(listen), Some(held)) = (listen_http2, limits.http2) {
+        let (connections, streams) = (held.connections, held.streams);
+        info!(name: "started_http2", listen = %listen, connections, streams);
+    }
+    started(listen, listen_http2);
     async_io::block_on(executor.run(async {
-        broker.turns(listener, &executor).await;
+        broker.turns().await;
     }));
-    log::info("stopped", &[("name", &config.name)]);
+    info!(name: "stopped", name = %config.name);
     Ok(())
 }
 
 impl Broker {
     /// One turn after another, until the program is to end and has nothing left to do.
-    async fn turns(&mut self, listener: Async<TcpListener>, executor: &Rc<LocalExecutor<'static>>) {
-        let listener = Rc::new(listener);
-        let accept = executor.spawn(self.front.clone().accept(listener.clone(), executor.clone()));
-        let mut accept = Some((accept, listener));
+    async fn turns(&mut self) {
         loop {
             let now = self.clock.now();
             self.turn(now);
             let leaving = self.leaving_since.map(|since| since + LEAVING);
             if leaving.is_some_and(|at| now >= at) {
-                if let Some((task, listener)) = accept.take() {
-                    task.cancel().await;
-                    self.front.accept_rest(&listener, executor);
-                    self.front.set_stage(Stage::Closing);
-                }
-                if self.front.open() == 0 && self.pending.is_empty() {
+                self.fronts.close().await;
+                if self.fronts.open() == 0 && self.queries.is_empty() {
                     return;
                 }
             }
-            let closing = accept.is_none().then_some(now + self.tick);
+            let closing = self.fronts.is_closing().then_some(now + self.tick);
             let ended = (self.upstream.has_ended() || !self.ended.is_empty()).then_some(now);
             let due = [
                 Some(self.core.due()),
@@ -134,16 +149,20 @@
         }
     }
 
-    /// Waits for the next turn: for something to happen or the next moment that is due, a tick at the least.
+    /// Waits for the next turn: for something to happen or the next moment that is due. What is due keeps a tick's
+    /// distance; for what happened, the pacing says how long to gather.
     async fn pause(&self, now: Micros, due: Micros) {
-        let next = now + self.tick;
-        let due = due.clamp(next, now + 1_000_000_000);
+        let due = due.clamp(now + self.tick, now + 1_000_000_000);
         let timer = async {
             Timer::at(self.clock.instant(due)).await;
         };
         self.inbox.wait().or(timer).await;
+        let next = self.pacing.earliest(now, self.queries.len() + self.inbox.asks());
         if self.clock.now() < next {
             Timer::at(self.clock.instant(next)).await;
+        } else {
+            // What else the sockets hold by now comes along.
+            yield_now().await;
         }
     }
 
@@ -151,12 +170,11 @@
         let mut asks = Vec::new();
         for input in self.inbox.take() {
             match input {
-                Input::Ask(id, ask, reply) => asks.push((id, ask, reply)),
-                // Where the reply was already on its way, there is nothing left to free.
+                Input::Ask(id, connection, ask, reply) => asks.push((id, connection, ask, reply)),
                 Input::Gone(id) => {
-                    asks.retain(|(ask, _, _)| *ask != id);
+                    asks.retain(|(ask, ..)| *ask != id);
                     self.core.leave(id);
-                    self.pending.remove(&id);
+                    self.queries.gone(now, id);
                 }
                 Input::Line(id, event) => self.upstream.hear(now, id, event),
                 Input::Targets(targets) => self.learn(now, targets.scope(), &targets),
@@ -167,21 +185,21 @@
         let reports = self.take_reports(now);
         let decisions = self.core.report(now, reports);
         self.carry_out(now, decisions);
-        let queries =
-            asks.into_iter().filter_map(|(id, ask, reply)| self.admit(now, id, ask, reply)).collect();
+        let admit = |(id, connection, ask, reply)| self.queries.admit(now, id, connection, ask, reply);
+        let queries = asks.into_iter().filter_map(admit).collect();
         let decisions = self.core.pick(now, queries);
         self.carry_out(now, decisions);
         let decisions = self.core.tick(now);
         self.carry_out(now, decisions);
         let sends = std::mem::take(&mut self.dispatches);
-        let sends = sends.into_values().filter_map(|d| self.send(d)).collect();
+        let sends = sends.into_values().filter_map(|d| self.send(now, d)).collect();
         self.upstream.dispatch(now, sends);
         self.upstream.sweep(now);
     }
 
     /// Takes news of the list: the decisions and the pools learn of it in the same turn.
     fn learn(&mut self, now: Micros, scope: ListScope, targets: &Targets) {
-        let servers = targets.servers(&self.zones, self.clock);
+        let servers = targets.servers(&self.zones, |ms| self.clock.of_unix_ms(ms));
         if scope != ListScope::Changes {
             let named: BTreeSet<&NodeId> = servers.iter().map(|s| &s.name).collect();
             for name in self.upstream.serving().iter().filter(|name| !named.contains(name)) {
@@ -195,23 +213,34 @@
         self.core.learn(scope, servers);
     }
 
-    /// Takes the configuration as it is now. Only where discovery is can change while the program runs. A file
-    /// that is missing or faulty leaves all as it was: a slip of the pen must not end a broker that serves.
+    /// Takes the configuration and the operator's file as they are now: both or none. A file that is missing or
+    /// faulty leaves all as it was: a slip of the pen must not end a broker that serves.
     fn reload(&mut self) {
-        match config::reread(config::environment) {
-            Ok(config) => {
-                log::info("reloaded", &[("discovery", &config.discovery)]);
-                self.discovery.move_to(config.discovery);
+        let read = || -> Result<_, String> {
+            let config = config::reread(config::environment)?;
+            let settings = self.operator.reread()?;
+            let mut operator = self.operator.clone();
+            operator.adopt_quietly(&settings);
+            let limits = divide(self.clients, operator.http2())?;
+            Ok((config.discovery, settings, limits))
+        };
+        match read() {
+            Ok((discovery, settings, limits)) => {
+                self.operator.adopt(&settings);
+                self.pacing = self.operator.pacing(self.tick);
+                self.fronts.set_limits(limits);
+                info!(name: "reloaded", discovery = %discovery);
+                self.discovery.move_to(discovery);
             }
-            Err(error) => log::warn("reload_failed", &[("error", &error)]),
+            Err(error) => warn!(name: "reload_failed", error = %error),
         }
     }
 
     fn terminate(&mut self, now: Micros) {
         if self.leaving_since.is_none() {
-            log::info("leaving", &[("open_queries", &self.pending.len())]);
+            info!(name: "leaving", open_queries = self.queries.len());
             self.leaving_since = Some(now);
-            self.front.set_stage(Stage::Leaving);
+            self.fronts.leave();
         }
     }
 
@@ -219,44 +248,19 @@
     fn take_reports(&mut self, now: Micros) -> Vec<Report> {
         let mut ended = std::mem::take(&mut self.ended);
         ended.extend(self.upstream.take_ended(now));
-        let report = |e: Ended| {
-            if let Some(pending) = self.pending.get_mut(&e.attempt.query)
-                && let Some(value) = pending.values.get_mut(e.attempt.part)
-                && e.outcome == Outcome::Served
-            {
-                *value = e.value;
-            }
+        let report = |mut e: Ended| {
+            self.queries.ended(now, &mut e);
             Report { attempt: e.attempt, outcome: e.outcome, elapsed: e.elapsed, load: e.load }
         };
         ended.into_iter().map(report).collect()
     }
 
-    fn admit(&mut self, now: Micros, id: QueryId, ask: Ask, reply: Sender<Reply>) -> Option<Query> {
-        // Parts go by the request's id on the wire: those of two requests could not be told apart.
-        if self.pending.values().any(|p| p.ask.id == ask.id) {
-            let why = "X-Request-Id is that of a request in hand".to_owned();
-            let _ = reply.try_send(Reply::Bad { status: 400, why });
-            return None;
-        }
-        let query = Query {
-            id,
-            class: ask.class,
-            tenant: ask.tenant,
-            give_up_at: now + ask.patience,
-            again: ask.again,
-            parts: ask.parts.clone(),
-        };
-        let values = vec![None; ask.parts.len()];
-        self.pending.insert(id, Pending { ask, reply, values });
-        Some(query)
-    }
-
     fn carry_out(&mut self, now: Micros, decisions: Decisions) {
         if decisions.no_room > 0 {
-            log::warn("no_room", &[("queries", &decisions.no_room), ("held", &self.core.held())]);
+            warn!(name: "no_room", queries = decisions.no_room, held = self.core.held());
         }
         if decisions.overdue > 0 {
-            log::warn("overdue", &[("queries", &decisions.overdue)]);
+            warn!(name: "overdue", queries = decisions.overdue);
         }
         for attempt in decisions.give_up {
             if self.dispatches.remove(&attempt).is_some() {
@@ -267,43 +271,33 @@
             }
         }
         for Final { query, verdict } in decisions.finals {
-            self.finish(query, verdict);
+            self.finish(now, query, verdict);
         }
         self.dispatches.extend(decisions.dispatches.into_iter().map(|d| (d.attempt, d)));
     }
 
-    /// The one place where a query is given back, with its reply.
-    fn finish(&mut self, query: QueryId, verdict: Verdict) {
-        let Some(pending) = self.pending.remove(&query) else { return };
-        let reply = match verdict {
+    fn finish(&mut self, now: Micros, query: QueryId, verdict: Verdict) {
+        self.queries.finish(now, query, |values| match verdict {
             Verdict::Refuse { retry_after } => Reply::Refused { retry_after },
             Verdict::Fail => Reply::Failed,
-            Verdict::Answer { whole } => {
-                let shards = pending.ask.parts.iter().map(|p| p.shard);
-                let values = shards.zip(pending.values).filter_map(|(shard, v)| Some((shard, v?))).collect();
-                Reply::Answer { whole, values }
-            }
-        };
-        // A client that has just gone needs none.
-        let _ = pending.reply.try_send(reply);
+            Verdict::Answer { whole } => Reply::Answer { whole, values },
+        });
     }
 
-    /// A dispatch with all that its frame needs. None if its query has ended in the same turn.
-    fn send(&mut self, d: Dispatch) -> Option<Send> {
-        let ask = self.pending.get(&d.attempt.query).map(|pending| &pending.ask);
-        let Some((ask, part)) = ask.and_then(|ask| Some((ask, ask.parts.get(d.attempt.part)?))) else {
-            self.ended.push(never_sent(d.attempt));
-            return None;
-        };
-        Some(Send {
-            attempt: d.attempt,
-            server: d.server,
-            until: d.until,
-            wire: format!("{}.{}", ask.id, part.shard),
-            shard: part.shard,
-            key: ask.key.clone(),
-            text: ask.text.clone(),
-        })
+    /// A dispatch with all that its frame needs. `None`: it does not go out.
+    fn send(&mut self, now: Micros, d: Dispatch) -> Option<Send> {
+        let attempt = d.attempt;
+        match self.queries.outgoing(now, d) {
+            Ok(send) => return Some(send),
+            Err(Held::Over) => {}
+            Err(Held::Repeat) => {
+                // An earlier query of its key may have run this part: this one can be neither served nor refused.
+                self.core.leave(attempt.query);
+                self.queries.finish(now, attempt.query, |_| Reply::Failed);
+            }
+        }
+        self.ended.push(never_sent(attempt));
+        None
     }
 }
 
--- a/ploverport/src/upstream/line.rs
+++ b/crates/broker/src/upstream/line.rs
@@ -1,13 +1,14 @@
 //! One connection to a data server: what waits to be written, and the task that writes and reads.
 
-use super::frame::{self, BadFrame, FromServer, PartLine};
-use crate::clock::{Micros, limited};
-use crate::inbox::{Inbox, Input};
+use crate::clock::limited;
+use crate::inbox::{Inbox, Input, LineEvent};
 use crate::net::read_some;
 use async_channel::{Receiver, Sender};
 use async_io::Async;
 use futures_lite::future::yield_now;
 use futures_lite::{AsyncWriteExt, FutureExt};
+use plover_frames::{self as frame, PartLine};
+use plover_model::time::Micros;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, VecDeque};
 use std::io;
@@ -15,18 +16,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// News of a connection.
-pub enum LineEvent {
-    /// A frame has come.
-    Frame(FromServer),
-    /// A frame has begun and is not all there yet.
-    Begun,
-    /// The connection has ended or never came up.
-    Down(io::Error),
-    /// A frame came that cannot be read. The connection has ended: nothing tells where the next one begins.
-    Bad(BadFrame),
-}
-
 /// One part, ready for its frame.
 pub(super) struct Outgoing {
     pub(super) wire: String,
--- a/ploverport/src/upstream/mod.rs
+++ b/crates/broker/src/upstream/mod.rs
@@ -4,23 +4,20 @@
 //! the drop of its task, which closes the socket. Tasks on sockets tell the pool what happened through the
 //! inbox; the pool acts on it in a turn.
 
-pub mod frame;
 mod line;
 
-use crate::clock::Micros;
-use crate::config::PoolLimits;
-use crate::core::{AttemptId, NodeId, Outcome};
-use crate::inbox::Inbox;
-use crate::log;
+use crate::inbox::{Inbox, LineEvent};
 use async_executor::{LocalExecutor, Task};
-use frame::FromServer;
 use line::{Item, Line, Outgoing};
+use plover_frames::FromServer;
+use plover_model::limits::PoolLimits;
+use plover_model::query::AttemptId;
+use plover_model::server::{NodeId, Outcome};
+use plover_model::time::{MILLI, Micros};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::fmt::Display;
 use std::net::SocketAddr;
 use std::rc::Rc;
-
-pub use line::LineEvent;
+use tracing::warn;
 
 /// Share of the servers' idle time after which a connection is retired: a part that crosses the server's
 /// closing would end as a reset, which tells nobody whether it ran.
@@ -185,7 +182,7 @@
             self.deadlines.insert((s.until, s.attempt));
             let flight = Flight { conn: id, wire: s.wire.clone(), sent: now, until: s.until };
             self.flights.insert(s.attempt, flight);
-            let wait_ms = (s.until.saturating_sub(now) / crate::clock::MILLI).max(1);
+            let wait_ms = (s.until.saturating_sub(now) / MILLI).max(1);
             parts.push(Outgoing { wire: s.wire, shard: s.shard, wait_ms, key: s.key, text: s.text });
         }
         conn.line.put(Item::Call(parts));
@@ -207,7 +204,7 @@
             return Some(id);
         }
         if self.conns.len() >= self.limits.sockets && !self.evict() {
-            log::warn("upstream_sockets_full", &[("server", &name.0), ("open", &self.conns.len())]);
+            warn!(name: "upstream_sockets_full", server = %name.0, open = self.conns.len());
             return None;
         }
         let id = self.next_conn;
@@ -308,15 +305,12 @@
             }
             LineEvent::Begun => conn.begun = Some(now),
             LineEvent::Frame(FromServer::Rejected(words)) => {
-                log::warn("upstream_rejected", &[("server", &conn.server.0), ("words", &words)]);
+                warn!(name: "upstream_rejected", server = %conn.server.0, words);
             }
             LineEvent::Down(error) => {
                 if !conn.out.is_empty() {
                     let out = conn.out.len();
-                    log::warn(
-                        "upstream_down",
-                        &[("server", &conn.server.0), ("error", &error), ("out", &out)],
-                    );
+                    warn!(name: "upstream_down", server = %conn.server.0, error = %error, out);
                 }
                 self.lose(now, id);
             }
@@ -330,9 +324,7 @@
     /// their server, which has failed but once, nor of their query, which does not bring down servers.
     fn spoil(&mut self, now: Micros, id: u64, error: &str) {
         let Some(conn) = self.conns.get(&id) else { return };
-        let pairs: [(&str, &dyn Display); 3] =
-            [("server", &conn.server.0), ("error", &error), ("out", &conn.out.len())];
-        log::warn("upstream_bad_frame", &pairs);
+        warn!(name: "upstream_bad_frame", server = %conn.server.0, error, out = conn.out.len());
         let unwritten = conn.line.unwritten();
         let mut out: Vec<(String, AttemptId)> = conn.out.clone().into_iter().collect();
         out.sort_by_key(|(_, attempt)| (self.flights.get(attempt).map(|f| f.sent), *attempt));
@@ -532,7 +524,7 @@
     /// It is one failure of the server, whatever else was out on the connection, and none of a query's own.
     #[test]
     fn a_spoilt_answer_fails_one_attempt_and_closes_its_connection() {
-        for event in [answer("q7.0"), LineEvent::Bad(frame::BadFrame("noise"))] {
+        for event in [answer("q7.0"), LineEvent::Bad(plover_frames::BadFrame("noise"))] {
             let outcomes = outcomes_of_spoilt(event, 3);
             assert_eq!(outcomes, (vec![Outcome::Error, Outcome::Cancelled, Outcome::Cancelled], 0));
         }
@@ -541,7 +533,7 @@
     /// A second copy or noise after a good answer fails nothing, but nobody can tell what else would come.
     #[test]
     fn surplus_after_a_good_answer_closes_the_connection_and_fails_nothing() {
-        for surplus in [answer("q1.0"), LineEvent::Begun, LineEvent::Bad(frame::BadFrame("noise"))] {
+        for surplus in [answer("q1.0"), LineEvent::Begun, LineEvent::Bad(plover_frames::BadFrame("noise"))] {
             let (mut pool, _listener) = pool(limits());
             pool.dispatch(0, sends(1, 1));
             pool.hear(10, 0, answer("q1.0"));
--- a/ploverport/src/config.rs
+++ b/crates/config/src/lib.rs
@@ -1,9 +1,12 @@
 //! The one place where the environment and the configuration file are read, checked and given defaults.
 
-use crate::clock::{Micros, millis};
-use crate::discovery::Targets;
 use brookbend::api::Settings;
 use brookbend::settings::{self, Message};
+use plover_admission::budget::Given;
+use plover_model::limits::PoolLimits;
+use plover_model::query::Names;
+use plover_model::server::Targets;
+use plover_model::time::millis;
 use serde_json::Value;
 use std::net::SocketAddr;
 
@@ -23,17 +26,6 @@
 const MULTIPLEX: u64 = 100;
 const MAX_OPEN: u64 = 256;
 
-/// Names that requests use for what the settings number.
-#[derive(Clone, Debug, Default)]
-pub struct Names {
-    /// The classes.
-    pub classes: Vec<String>,
-    /// The tenants.
-    pub tenants: Vec<String>,
-    /// The zones.
-    pub zones: Vec<String>,
-}
-
 /// Everything that the program is told at its start, checked.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -53,27 +45,12 @@
     pub known: Targets,
     /// Most queries and parts in hand.
     pub max_open: usize,
-    /// Most client connections.
-    pub client_sockets: usize,
+    /// What client connections may take.
+    pub clients: Given,
     /// The limits for connections to data servers.
     pub pool: PoolLimits,
 }
 
-/// Limits for connections to data servers.
-#[derive(Clone, Copy, Debug)]
-pub struct PoolLimits {
-    /// Most connections.
-    pub sockets: usize,
-    /// Most parts in a call.
-    pub batch: usize,
-    /// Most parts on a connection.
-    pub multiplex: usize,
-    /// A connection must be up within this time.
-    pub dial_timeout: Micros,
-    /// Servers close connections that are idle for this long.
-    pub keepalive: Micros,
-}
-
 /// A variable of the program's environment; an empty one counts as unset.
 pub fn environment(key: &str) -> Option<String> {
     std::env::var(key).ok().filter(|v| !v.is_empty())
@@ -139,9 +116,8 @@
         None => None,
     };
     // Descriptors alone would let half-sent requests fill a small machine's memory.
-    let fit = memory_mb
-        .map_or(u64::MAX, |mb| mb.saturating_mul(1 << 20) / CLIENT_MEMORY.1 * CLIENT_MEMORY.0 / CLIENT_HOLDS);
-    if fit == 0 {
+    let memory = memory_mb.map(|mb| mb.saturating_mul(1 << 20) / CLIENT_MEMORY.1 * CLIENT_MEMORY.0);
+    if memory.is_some_and(|bytes| bytes < CLIENT_HOLDS) {
         return m.inner("limits")?.bad("memory_mb", "is too small to serve with");
     }
     let shared = sockets.min(SOCKETS) - OWN_SOCKETS;
@@ -155,7 +131,7 @@
         seed,
         known,
         max_open: site.max_open.unwrap_or(MAX_OPEN) as usize,
-        client_sockets: (shared * 2 / 3).min(fit) as usize,
+        clients: Given { sockets: shared * 2 / 3, memory, http1_holds: CLIENT_HOLDS },
         pool: PoolLimits {
             sockets: (shared / 3) as usize,
             batch: site.settings.batch,
@@ -171,10 +147,11 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use plover_admission::budget::divide;
     use serde_json::json;
 
     fn config() -> Value {
-        let settings: Value = serde_json::from_str(include_str!("../tests/settings.json")).unwrap();
+        let settings: Value = serde_json::from_str(include_str!("../../model/tests/settings.json")).unwrap();
         json!({"name": "n3", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "8c1f30d27a5be964",
             "limits": {"sockets": 4096, "memory_mb": 2048}, "known": {"rev": 1, "all": true, "targets": []}, "settings": settings})
     }
@@ -184,7 +161,7 @@
         let env = |key: &str| (key == "RELAY_LISTEN").then(|| "127.0.0.1:3".to_owned());
         let config = check(&config(), env).unwrap();
         assert_eq!((config.listen.port(), config.discovery.port(), config.name.as_str()), (3, 2, "n3"));
-        assert!(config.client_sockets + config.pool.sockets < SOCKETS as usize);
+        assert!(config.clients.sockets + (config.pool.sockets as u64) < SOCKETS);
         assert_eq!((config.pool.batch, config.pool.dial_timeout, config.max_open), (2, 250_000, 100));
     }
 
@@ -192,9 +169,12 @@
     #[test]
     fn client_connections_fit_the_memory() {
         let mut config = config();
-        assert_eq!(check(&config, |_| None).unwrap().client_sockets, 661);
+        let seats = |config: &Value| -> usize {
+            divide(check(config, |_| None).unwrap().clients, None).unwrap().http1_connections
+        };
+        assert_eq!(seats(&config), 661);
         config["limits"]["memory_mb"] = json!(32);
-        assert_eq!(check(&config, |_| None).unwrap().client_sockets, 153);
+        assert_eq!(seats(&config), 153);
     }
 
     #[test]
--- a/ploverport/src/core.rs
+++ b/crates/core/src/lib.rs
@@ -4,28 +4,14 @@
 //! same decisions and rules. It alone sees the module's events and actions, and it alone counts what is open:
 //! a query enters in [`Core::pick`] and leaves with its one [`Final`] or in [`Core::leave`].
 
-use crate::clock::{MILLI, Micros, millis};
 use brookbend::Aggregator;
 use brookbend::api::{Action, ClassIndex, Event, ListKind, Member, Part, RequestId, Settings, TenantIndex};
 use brookbend::room::no_room_advice;
+use plover_model::query::{AttemptId, PartSpec, QueryId};
+use plover_model::server::{ListScope, NodeId, Outcome, ServerInfo};
+use plover_model::time::{MILLI, Micros, millis};
 use std::collections::{BTreeMap, BTreeSet};
 
-pub use brookbend::api::{NodeId, NodeState, Outcome};
-
-/// Number of a query, never used twice.
-pub type QueryId = u64;
-
-/// One attempt at a part of a query.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct AttemptId {
-    /// The query.
-    pub query: QueryId,
-    /// The part's place among the query's parts.
-    pub part: usize,
-    /// Which attempt at the part, from 0.
-    pub attempt: u32,
-}
-
 /// A query that wants answers from its shards.
 #[derive(Clone, Debug)]
 pub struct Query {
@@ -43,17 +29,6 @@
     pub parts: Vec<PartSpec>,
 }
 
-/// What the decisions need to know of a part.
-#[derive(Clone, Debug, PartialEq)]
-pub struct PartSpec {
-    /// Its shard.
-    pub shard: usize,
-    /// Its share of the whole answer.
-    pub weight: f64,
-    /// A guess at the work in it.
-    pub hint: Option<Micros>,
-}
-
 /// How an attempt ended.
 #[derive(Clone, Debug)]
 pub struct Report {
@@ -67,32 +42,6 @@
     pub load: Option<f64>,
 }
 
-/// A server as the list shows it.
-#[derive(Clone, Debug)]
-pub struct ServerInfo {
-    /// Its name.
-    pub name: NodeId,
-    /// Its cell.
-    pub cell: usize,
-    /// Its state.
-    pub state: NodeState,
-    /// Index of its zone.
-    pub zone: Option<usize>,
-    /// When its process last started, perhaps before this program; `None`: long ago.
-    pub started: Option<i64>,
-}
-
-/// What a list of servers is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ListScope {
-    /// The whole list as last known, perhaps old.
-    Known,
-    /// The whole list.
-    Whole,
-    /// Changed entries.
-    Changes,
-}
-
 /// An attempt to send.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Dispatch {
@@ -369,11 +318,12 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use brookbend::api::NodeState;
     use brookbend::settings::{Message, decode};
     use serde_json::Value;
 
     fn core(max_open: usize) -> Core {
-        let settings: Value = serde_json::from_str(include_str!("../tests/settings.json")).unwrap();
+        let settings: Value = serde_json::from_str(include_str!("../../model/tests/settings.json")).unwrap();
         let site = decode(&Message::new("settings", settings.as_object().unwrap())).unwrap();
         let mut core = Core::new(site.settings, max_open, 7);
         let server = |n: usize| ServerInfo {
--- a/ploverport/src/upstream/frame.rs
+++ b/crates/frames/src/lib.rs
@@ -1,5 +1,7 @@
 //! The frames between brokers and data servers: a length of four bytes, a letter, the rest.
 
+pub mod from_broker;
+
 use brookbend::api::Outcome;
 use std::fmt::Write;
 
--- /dev/null
+++ b/crates/model/src/query.rs
@@ -0,0 +1,87 @@
+//! A query: what a client asks, its parts and attempts, and the one final answer.
+
+use crate::time::Micros;
+use std::rc::Rc;
+
+/// Number of a query, never used twice.
+pub type QueryId = u64;
+
+/// One attempt at a part of a query.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct AttemptId {
+    /// The query.
+    pub query: QueryId,
+    /// The part's place among the query's parts.
+    pub part: usize,
+    /// Which attempt at the part, from 0.
+    pub attempt: u32,
+}
+
+/// What the decisions need to know of a part.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PartSpec {
+    /// Its shard.
+    pub shard: usize,
+    /// Its share of the whole answer.
+    pub weight: f64,
+    /// A guess at the work in it.
+    pub hint: Option<Micros>,
+}
+
+/// What a client asks.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ask {
+    /// The request's id, on the wire to data servers too.
+    pub id: Rc<str>,
+    /// Index of the class.
+    pub class: usize,
+    /// Index of the tenant.
+    pub tenant: usize,
+    /// How long the client will wait.
+    pub patience: Micros,
+    /// Whether the client marked it as a repeat.
+    pub again: bool,
+    /// The idempotency key, in a keyed class.
+    pub key: Option<Rc<str>>,
+    /// The parts.
+    pub parts: Vec<PartSpec>,
+    /// What each part has to carry.
+    pub text: Rc<str>,
+}
+
+/// The final answer to a client.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    /// Served.
+    Answer {
+        /// Whether it is whole.
+        whole: bool,
+        /// Shard and value of each part that is in.
+        values: Vec<(usize, String)>,
+    },
+    /// Not served; trying again is harmless.
+    Refused {
+        /// When to come back.
+        retry_after: Option<Micros>,
+    },
+    /// Not served, promising nothing.
+    Failed,
+    /// The request itself cannot be used.
+    Bad {
+        /// Status of the answer.
+        status: u16,
+        /// What is wrong.
+        why: String,
+    },
+}
+
+/// Names that requests use for what the settings number.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    /// The classes.
+    pub classes: Vec<String>,
+    /// The tenants.
+    pub tenants: Vec<String>,
+    /// The zones.
+    pub zones: Vec<String>,
+}
--- /dev/null
+++ b/crates/operator-file/src/keywords.rs
@@ -0,0 +1,110 @@
+//! The keywords: what each takes, means, and when it takes effect.
+
+/// When a line that changed in the file takes effect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// With the SIGHUP that reads it.
+    AtOnce,
+    /// With the SIGHUP that reads it, for connections that come later.
+    NewConnections,
+    /// When the program is started again.
+    Restart,
+}
+
+/// A keyword.
+#[derive(Clone, Copy, Debug)]
+pub struct Keyword {
+    /// Its name.
+    pub name: &'static str,
+    /// What it takes, as a person reads it.
+    pub takes: &'static str,
+    /// What it is for.
+    pub about: &'static str,
+    /// When a change takes effect.
+    pub effect: Effect,
+    /// The keyword without which it means nothing.
+    pub needs: Option<&'static str>,
+}
+
+const fn keyword(
+    name: &'static str,
+    takes: &'static str,
+    about: &'static str,
+    effect: Effect,
+    needs: Option<&'static str>,
+) -> Keyword {
+    Keyword { name, takes, about, effect, needs }
+}
+
+const HTTP2: Option<&str> = Some("listen-http2");
+
+/// All keywords; each stands on one line of a file at most, with one argument.
+pub const KEYWORDS: &[Keyword] = &[
+    keyword("log-format", "logfmt or json", "form of the log's lines", Effect::AtOnce, None),
+    keyword(
+        "log-level",
+        "error, warn, info, debug or trace",
+        "least level that is logged",
+        Effect::AtOnce,
+        None,
+    ),
+    keyword(
+        "gather-time",
+        "a time, 0us to 50ms",
+        "longest wait for parts that could share a call",
+        Effect::AtOnce,
+        None,
+    ),
+    keyword(
+        "listen-http2",
+        "an address with a port",
+        "where clients with HTTP/2 connect",
+        Effect::Restart,
+        None,
+    ),
+    keyword("http2-connections", "1 to 65536", "most HTTP/2 connections", Effect::Restart, HTTP2),
+    keyword(
+        "http2-streams",
+        "1 to 65536",
+        "most requests at once on a connection",
+        Effect::NewConnections,
+        HTTP2,
+    ),
+    keyword(
+        "http2-window",
+        "a size, 1KiB to 16MiB",
+        "most of a request's body on its way",
+        Effect::NewConnections,
+        HTTP2,
+    ),
+    keyword(
+        "http2-connection-window",
+        "a size, 64KiB to 64MiB",
+        "the same for all requests of a connection together",
+        Effect::NewConnections,
+        HTTP2,
+    ),
+    keyword(
+        "http2-header-list",
+        "a size, 1KiB to 64KiB",
+        "longest header list of a request",
+        Effect::NewConnections,
+        HTTP2,
+    ),
+];
+
+/// The keyword of this name.
+pub(crate) fn find(name: &str) -> Option<&'static Keyword> {
+    KEYWORDS.iter().find(|k| k.name == name)
+}
+
+/// The keyword that a wrong one was probably meant to be.
+pub(crate) fn nearest(name: &str) -> Option<&'static str> {
+    // Longer words are nobody's slip of the pen, and comparing costs the product of the lengths.
+    if name.len() > 64 {
+        return None;
+    }
+    let distance = |k: &Keyword| strsim::damerau_levenshtein(k.name, name);
+    let nearest = KEYWORDS.iter().min_by_key(|k| distance(k))?;
+    (distance(nearest) <= nearest.name.len() / 3).then_some(nearest.name)
+}
--- /dev/null
+++ b/crates/operator-file/src/settings.rs
@@ -0,0 +1,255 @@
+//! What a file sets.
+
+use crate::fault::{Fault, Faults, Source};
+use crate::grammar::{Line, Word, lines};
+use crate::keywords::{self, Effect, KEYWORDS};
+use crate::{LONGEST, values};
+use plover_model::time::{MILLI, Micros};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// Form of the log's lines.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LogFormat {
+    /// `key=value` pairs.
+    #[default]
+    Logfmt,
+    /// One JSON object a line.
+    Json,
+}
+
+/// Least level that is logged.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[allow(missing_docs)]
+pub enum LogLevel {
+    Error,
+    Warn,
+    #[default]
+    Info,
+    Debug,
+    Trace,
+}
+
+/// How the log is kept.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Log {
+    /// Form of the lines.
+    pub format: LogFormat,
+    /// Least level.
+    pub level: LogLevel,
+}
+
+/// The HTTP/2 front. What is left out is derived from the limits of the platform's configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Http2 {
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Most connections.
+    pub connections: Option<usize>,
+    /// Most streams of a connection.
+    pub streams: Option<u32>,
+    /// Window of a stream, in bytes.
+    pub window: Option<u32>,
+    /// Window of a connection, in bytes.
+    pub connection_window: Option<u32>,
+    /// Longest header list, in bytes as RFC 9113 section 6.5.2 counts them.
+    pub header_list: Option<u32>,
+}
+
+/// What a file sets; the default is what holds without one.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Settings {
+    /// The log.
+    pub log: Log,
+    /// The HTTP/2 front, if it is to be there.
+    pub http2: Option<Http2>,
+    /// Longest wait for parts that could share a call; `None`: a tick of the settings.
+    pub gather: Option<Micros>,
+    /// The arguments as they stand in the file, by keyword.
+    given: BTreeMap<&'static str, String>,
+}
+
+/// What differs between two files.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Changes {
+    /// Keywords whose change takes effect with the new file.
+    pub now: Vec<&'static str>,
+    /// Keywords whose change waits for a restart.
+    pub restart: Vec<&'static str>,
+}
+
+impl Settings {
+    /// What changes from this file to a new one.
+    pub fn changes(&self, new: &Settings) -> Changes {
+        let mut changes = Changes::default();
+        for k in KEYWORDS.iter().filter(|k| self.given.get(k.name) != new.given.get(k.name)) {
+            match k.effect {
+                Effect::AtOnce | Effect::NewConnections => changes.now.push(k.name),
+                Effect::Restart => changes.restart.push(k.name),
+            }
+        }
+        changes
+    }
+
+    /// The settings that hold after `new` was read by a running program: what waits for a restart stays.
+    pub fn adopt(&self, new: &Settings) -> Settings {
+        let http2 = match (self.http2, new.http2) {
+            (Some(old), Some(new)) => Some(Http2 { listen: old.listen, connections: old.connections, ..new }),
+            // Opening or closing a front takes a restart.
+            (old, _) => old,
+        };
+        let mut given = new.given.clone();
+        for k in KEYWORDS.iter().filter(|k| k.effect == Effect::Restart) {
+            // As long as they differ, each reading tells.
+            match self.given.get(k.name) {
+                Some(old) => given.insert(k.name, old.clone()),
+                None => given.remove(k.name),
+            };
+        }
+        Settings { http2, given, ..new.clone() }
+    }
+}
+
+/// Reads a file's text; `name` is what faults call the file.
+pub fn read(name: &str, text: &str) -> Result<Settings, Faults> {
+    let source = Source::new(name, text);
+    if text.len() > LONGEST {
+        let what = format!("the file holds {} bytes", text.len());
+        return Err(Faults(vec![source.fault(&(0..0), what, format!("expected {LONGEST} at most"))]));
+    }
+    let mut reading = Reading { source, faults: Vec::new(), taken: BTreeMap::new() };
+    for line in lines(text) {
+        reading.line(line);
+    }
+    let settings = reading.settings();
+    let mut faults = reading.faults;
+    if faults.is_empty() {
+        return Ok(settings);
+    }
+    faults.sort_by_key(|f| f.span.start);
+    Err(Faults(faults))
+}
+
+struct Reading<'a> {
+    source: Source<'a>,
+    faults: Vec<Fault>,
+    /// The first line of each keyword.
+    taken: BTreeMap<&'static str, (Word, Word)>,
+}
+
+impl Reading<'_> {
+    fn fault(&mut self, word: &Word, what: String, expected: impl Into<String>) {
+        let fault = self.source.fault(&word.span, what, expected);
+        self.faults.push(fault);
+    }
+
+    fn line(&mut self, line: Line) {
+        let name = &line.keyword.text;
+        let Some(k) = keywords::find(name) else {
+            let nearest = keywords::nearest(name).map_or(String::new(), |n| format!("did you mean {n}?"));
+            return self.fault(&line.keyword, format!("unknown keyword {}", shown(name)), nearest);
+        };
+        if let Some((first, _)) = self.taken.get(k.name) {
+            let (first, _) = self.source.place(first.span.start);
+            return self.fault(
+                &line.keyword,
+                format!("{name} is given twice"),
+                format!("it stands on line {first}"),
+            );
+        }
+        let mut arguments = line.arguments.into_iter();
+        match (arguments.next(), arguments.next()) {
+            (None, _) => self.fault(
+                &line.keyword,
+                format!("{name} lacks its argument"),
+                format!("expected {}", k.takes),
+            ),
+            (Some(argument), None) => {
+                self.taken.insert(k.name, (line.keyword, argument));
+            }
+            (_, Some(surplus)) => {
+                let what = format!("{} is one too many for {name}", shown(&surplus.text));
+                self.fault(&surplus, what, format!("expected {} and no more", k.takes));
+            }
+        }
+    }
+
+    /// The typed value of a keyword's argument, if that is given and right.
+    fn value<T>(&mut self, name: &str, read: impl Fn(&str) -> Result<T, String>) -> Option<T> {
+        let (_, argument) = self.taken.get(name)?.clone();
+        match read(&argument.text) {
+            Ok(value) => Some(value),
+            Err(expected) => {
+                self.fault(
+                    &argument,
+                    format!("{} is no argument for {name}", shown(&argument.text)),
+                    expected,
+                );
+                None
+            }
+        }
+    }
+
+    fn settings(&mut self) -> Settings {
+        let formats = [("logfmt", LogFormat::Logfmt), ("json", LogFormat::Json)];
+        let levels = [
+            ("error", LogLevel::Error),
+            ("warn", LogLevel::Warn),
+            ("info", LogLevel::Info),
+            ("debug", LogLevel::Debug),
+            ("trace", LogLevel::Trace),
+        ];
+        let log = Log {
+            format: self.value("log-format", |w| values::choice(w, &formats)).unwrap_or_default(),
+            level: self.value("log-level", |w| values::choice(w, &levels)).unwrap_or_default(),
+        };
+        let gather = self.value("gather-time", |w| values::span(w, &(0..=50 * MILLI)));
+        let listen = self.value("listen-http2", values::address);
+        let connections = self.value("http2-connections", |w| values::whole(w, &(1..=65_536)));
+        let streams = self.value("http2-streams", |w| values::whole(w, &(1..=65_536)));
+        let window = self.value("http2-window", |w| values::size(w, &(1 << 10..=16 << 20)));
+        let connection_window =
+            self.value("http2-connection-window", |w| values::size(w, &(64 << 10..=64 << 20)));
+        let header_list = self.value("http2-header-list", |w| values::size(w, &(1 << 10..=64 << 10)));
+        self.contradictions(window, connection_window);
+        let http2 = listen.map(|listen| Http2 {
+            listen,
+            connections: connections.map(|n| n as usize),
+            streams: streams.map(|n| n as u32),
+            window: window.map(|n| n as u32),
+            connection_window: connection_window.map(|n| n as u32),
+            header_list: header_list.map(|n| n as u32),
+        });
+        let given = self.taken.iter().map(|(name, (_, argument))| (*name, argument.text.clone())).collect();
+        Settings { log, http2, gather, given }
+    }
+
+    /// What is right by itself and wrong beside the rest.
+    fn contradictions(&mut self, window: Option<u64>, connection_window: Option<u64>) {
+        for k in KEYWORDS {
+            if let (Some(needs), Some((word, _))) = (k.needs, self.taken.get(k.name).cloned())
+                && !self.taken.contains_key(needs)
+            {
+                self.fault(
+                    &word,
+                    format!("{} says something of what is not there", k.name),
+                    format!("it needs {needs}"),
+                );
+            }
+        }
+        if let (Some(window), Some(all), Some((_, argument))) =
+            (window, connection_window, self.taken.get("http2-connection-window").cloned())
+            && all < window
+        {
+            let what = format!("{} is less than http2-window", argument.text);
+            self.fault(&argument, what, "one request must fit the window of its connection");
+        }
+    }
+}
+
+/// A word from the file as it may stand in a line of a log.
+fn shown(word: &str) -> String {
+    let short: String = word.chars().take(64).collect();
+    let plain = short.chars().all(|c| c.is_ascii_graphic() && c != '"');
+    if plain && !short.is_empty() { short } else { format!("{short:?}") }
+}
--- /dev/null
+++ b/crates/operator-file/tests/files.rs
@@ -0,0 +1,94 @@
+//! Whole files: what they set, and what they are refused for.
+
+use plover_operator_file::{Effect, KEYWORDS, LogFormat, LogLevel, Settings, read};
+use proptest::prelude::*;
+
+const FULL: &str = "\
+# An installation with both fronts.
+log-format json
+log-level  debug
+gather-time 500us
+listen-http2 127.0.0.1:8081   # without TLS
+http2-connections 64
+http2-streams 200
+http2-window 32KiB
+http2-connection-window 1MiB
+http2-header-list 16KiB
+";
+
+fn faults(text: &str) -> Vec<String> {
+    read("f", text).unwrap_err().0.iter().map(ToString::to_string).collect()
+}
+
+#[test]
+fn a_file_with_every_keyword_is_read() {
+    let settings = read("f", FULL).unwrap();
+    assert_eq!((settings.log.format, settings.log.level), (LogFormat::Json, LogLevel::Debug));
+    assert_eq!(settings.gather, Some(500));
+    let http2 = settings.http2.unwrap();
+    assert_eq!((http2.listen.port(), http2.connections, http2.streams), (8081, Some(64), Some(200)));
+    assert_eq!(
+        (http2.window, http2.connection_window, http2.header_list),
+        (Some(32 << 10), Some(1 << 20), Some(16 << 10))
+    );
+    assert!(KEYWORDS.iter().all(|k| FULL.contains(k.name)), "a keyword is not tested");
+    assert_eq!(read("f", "").unwrap(), Settings::default());
+}
+
+/// A faulty file is owed all its faults at once: each round of mending and trying again takes a person's time.
+#[test]
+fn every_fault_has_its_place_and_says_what_is_right() {
+    let text = "log-levle info\nlog-level loud\nlog-format json json\nhttp2-streams 0\nlog-level info\ngather-time\nx\u{e9}\"y 1\n";
+    assert_eq!(
+        faults(text),
+        [
+            "f:1:1: unknown keyword log-levle; did you mean log-level?",
+            "f:2:11: loud is no argument for log-level; expected one of error, warn, info, debug, trace",
+            "f:3:17: json is one too many for log-format; expected logfmt or json and no more",
+            "f:4:1: http2-streams says something of what is not there; it needs listen-http2",
+            "f:4:15: 0 is no argument for http2-streams; expected a whole number from 1 to 65536",
+            "f:5:1: log-level is given twice; it stands on line 2",
+            "f:6:1: gather-time lacks its argument; expected a time, 0us to 50ms",
+            "f:7:1: unknown keyword \"x\u{e9}\\\"y\"",
+        ]
+    );
+}
+
+#[test]
+fn lines_that_contradict_each_other_are_refused() {
+    let text = "listen-http2 127.0.0.1:1\nhttp2-window 1MiB\nhttp2-connection-window 64KiB\n";
+    assert_eq!(
+        faults(text),
+        ["f:3:25: 64KiB is less than http2-window; one request must fit the window of its connection"]
+    );
+}
+
+#[test]
+fn a_change_is_told_by_when_it_takes_effect_and_a_restart_is_waited_for() {
+    let old = read("f", FULL).unwrap();
+    let text = FULL.replace("8081", "9091").replace("streams 200", "streams 100").replace("debug", "info");
+    let new = read("f", &text).unwrap();
+    let changes = old.changes(&new);
+    assert_eq!((changes.now, changes.restart), (vec!["log-level", "http2-streams"], vec!["listen-http2"]));
+    let adopted = old.adopt(&new);
+    let http2 = adopted.http2.unwrap();
+    assert_eq!((http2.listen.port(), http2.streams, adopted.log.level), (8081, Some(100), LogLevel::Info));
+    // What waits for the restart is told again with each file until it comes.
+    assert_eq!(adopted.changes(&new).restart, ["listen-http2"]);
+    assert_eq!(old.adopt(&read("f", "").unwrap()).http2, old.http2);
+    assert!(KEYWORDS.iter().any(|k| k.effect == Effect::NewConnections));
+}
+
+proptest! {
+    /// Whatever stands in a file: settings or faults, each within the text, and no panic.
+    #[test]
+    fn any_text_is_read_or_has_faults(text in "(log-level|listen-http2|http2-window|[a-z-]{0,12}|\\PC{0,6}|#| |\t|\r|\n|7|64KiB|127.0.0.1:1){0,40}") {
+        match read("f", &text) {
+            Ok(settings) => prop_assert_eq!(settings.changes(&settings), Default::default()),
+            Err(faults) => for fault in faults.0 {
+                prop_assert!(text.get(fault.span.clone()).is_some());
+                prop_assert!(!fault.to_string().contains('\n'));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/ploverport/src/demo.rs
@@ -0,0 +1,59 @@
+//! `ploverport demo`: the main job on a new machine, without set-up.
+
+use crate::cli::DemoArguments;
+use crate::serve::cannot_start;
+use plover_broker::operator::Operator;
+use plover_broker::turns;
+use plover_standins::{Deployment, Fleet, Plan};
+use std::io::Write;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use tracing::{Level, error};
+
+/// Serves with stand-ins until Ctrl-C.
+pub(crate) fn run(arguments: &DemoArguments) -> ExitCode {
+    plover_telemetry::init(plover_telemetry::Format::Logfmt, Level::INFO);
+    let fleet = match Fleet::start(Plan { servers: arguments.servers.into(), ..Plan::default() }) {
+        Ok(fleet) => fleet,
+        Err(error) => return cannot_start(&error),
+    };
+    let signals = match turns::signals() {
+        Ok(signals) => signals,
+        Err(error) => return cannot_start(&error),
+    };
+    let configuration = Deployment::default().configuration(&fleet, &arguments.listen.to_string());
+    let text = format!("listen-http2 {}\ngather-time 5ms\n", arguments.http2);
+    let read = || Ok((plover_config::check(&configuration, |_| None)?, Operator::of_text("demo", &text)?));
+    let (config, operator) = match read() {
+        Ok(both) => both,
+        Err(error) => {
+            let error: String = error;
+            error!(name: "bad_config", error);
+            return ExitCode::FAILURE;
+        }
+    };
+    let servers = fleet.servers().len();
+    let run = turns::run(config, operator, signals, |http1, http2| welcome(servers, http1, http2));
+    match run {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => cannot_start(&error),
+    }
+}
+
+fn welcome(servers: usize, http1: SocketAddr, http2: Option<SocketAddr>) {
+    let curl = |options: &str, address: SocketAddr| {
+        format!(
+            "curl -sS {options}http://{address}/lookup -H \"X-Request-Id: demo-$(date +%s%N)\" -H 'X-Tenant: public-site' \
+             -d '{{\"ranges\":[{{\"range\":0,\"portion\":0.5}},{{\"range\":5,\"portion\":0.5}}],\"predicate\":\"c41e77d0\"}}'\n"
+        )
+    };
+    let mut text = format!(
+        "\nA broker with {servers} stand-in data servers. HTTP/1.1 on {http1}:\n\n  {}",
+        curl("", http1)
+    );
+    if let Some(http2) = http2 {
+        text += &format!("\nHTTP/2 on {http2}:\n\n  {}", curl("--http2-prior-knowledge ", http2));
+    }
+    text += "\nCtrl-C ends it.\n\n";
+    let _ = std::io::stdout().write_all(text.as_bytes());
+}
--- /dev/null
+++ b/crates/ploverport/src/main.rs
@@ -0,0 +1,25 @@
+//! The program. Without a sub-command it serves, as the platform starts it.
+
+mod bench;
+mod check;
+mod cli;
+mod demo;
+mod serve;
+
+use clap::{CommandFactory, Parser};
+use cli::{Cli, Command};
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    match Cli::parse().command {
+        None => serve::run(None),
+        Some(Command::Serve(arguments)) => serve::run(arguments.config),
+        Some(Command::Check(arguments)) => check::run(&arguments),
+        Some(Command::Demo(arguments)) => demo::run(&arguments),
+        Some(Command::Bench(arguments)) => bench::run(&arguments),
+        Some(Command::Completions { shell }) => {
+            clap_complete::generate(shell, &mut Cli::command(), "ploverport", &mut std::io::stdout());
+            ExitCode::SUCCESS
+        }
+    }
+}
--- a/ploverport/tests/scenarios.rs
+++ b/crates/ploverport/tests/scenarios.rs
@@ -199,7 +199,7 @@
                     ["open", n] => {
                         for n in 0..n.parse::<usize>().unwrap() {
                             let client = self.peer(&format!("idle{n}"));
-                            client.send(b"GET /-/ready HTTP/1.1\r\n\r\n");
+                            client.send(b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n");
                             assert!(client.http().starts_with("HTTP/1.1 200 "));
                         }
                     }
@@ -238,7 +238,8 @@
         self.listen("d");
         self.listen("e");
         self.dead.iter().for_each(|name| drop(self.listeners.remove(name)));
-        let mut settings: Value = serde_json::from_str(include_str!("settings.json")).unwrap();
+        let mut settings: Value =
+            serde_json::from_str(include_str!("../../model/tests/settings.json")).unwrap();
         if let Some(n) = self.max_open {
             settings["Allowed"]["MaxOpen"] = json!(n);
         }
--- a/ploverport/src/front/query.rs
+++ b/crates/query/src/ask.rs
@@ -1,11 +1,10 @@
-//! A client's query: from an HTTP request to a small typed value, and from its final answer to HTTP.
+//! From an HTTP request to what it asks.
 
-use crate::clock::{MILLI, Micros};
-use crate::config::Names;
-use crate::core::PartSpec;
-use crate::http::{Message, encode_answer};
 use brookbend::api::{Semantics, Settings};
-use serde::{Deserialize, Serialize};
+use http::{HeaderMap, Method, Request};
+use plover_model::query::{Ask, Names, PartSpec, Reply};
+use plover_model::time::{MILLI, Micros, millis};
+use serde::Deserialize;
 use std::rc::Rc;
 
 /// Longest request id or idempotency key: they travel in every frame.
@@ -15,53 +14,6 @@
 /// Weights may miss their sum by so much: they are rounded on their way, and there may be a hundred.
 const ROUNDING: f64 = 0.01;
 
-/// What a client asks.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Ask {
-    /// The request's id, on the wire to data servers too.
-    pub id: Rc<str>,
-    /// Index of the class.
-    pub class: usize,
-    /// Index of the tenant.
-    pub tenant: usize,
-    /// How long the client will wait.
-    pub patience: Micros,
-    /// Whether the client marked it as a repeat.
-    pub again: bool,
-    /// The idempotency key, in a keyed class.
-    pub key: Option<Rc<str>>,
-    /// The parts.
-    pub parts: Vec<PartSpec>,
-    /// What each part has to carry.
-    pub text: Rc<str>,
-}
-
-/// The final answer to a client.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Reply {
-    /// Served.
-    Answer {
-        /// Whether it is whole.
-        whole: bool,
-        /// Shard and value of each part that is in.
-        values: Vec<(usize, String)>,
-    },
-    /// Not served; trying again is harmless.
-    Refused {
-        /// When to come back.
-        retry_after: Option<Micros>,
-    },
-    /// Not served, promising nothing.
-    Failed,
-    /// The request itself cannot be used.
-    Bad {
-        /// Status of the answer.
-        status: u16,
-        /// What is wrong.
-        why: String,
-    },
-}
-
 #[derive(Deserialize)]
 struct Body {
     ranges: Vec<RangeBody>,
@@ -75,39 +27,28 @@
     price: Option<f64>,
 }
 
-#[derive(Serialize)]
-struct AnswerBody<'a> {
-    total: bool,
-    answers: Vec<ValueBody<'a>>,
-}
-
-#[derive(Serialize)]
-struct ValueBody<'a> {
-    range: usize,
-    blob: &'a str,
-}
-
 fn bad<T>(status: u16, why: impl Into<String>) -> Result<T, Reply> {
     Err(Reply::Bad { status, why: why.into() })
 }
 
-/// Decodes a request for a class.
-pub fn decode(m: &Message, names: &Names, settings: &Settings) -> Result<Ask, Reply> {
-    let first = m.path().trim_start_matches('/').split('/').next().unwrap_or_default();
+/// Decodes a request for a class. The error is the answer that it is owed.
+pub fn decode(request: &Request<Vec<u8>>, names: &Names, settings: &Settings) -> Result<Ask, Reply> {
+    let m = request.headers();
+    let first = request.uri().path().trim_start_matches('/').split('/').next().unwrap_or_default();
     let Some(class) = names.classes.iter().position(|c| c == first) else {
         return bad(404, "the path names no class");
     };
-    if m.method != "POST" {
-        return bad(405, "a query is a POST");
+    if request.method() != Method::POST {
+        return bad(if is_standard(request.method()) { 405 } else { 501 }, "a query is a POST");
     }
-    if m.header("x-class").is_some_and(|c| c != names.classes[class]) {
+    if m.get("x-class").is_some_and(|c| c.as_bytes() != names.classes[class].as_bytes()) {
         return bad(400, "X-Class is not the path's class");
     }
     let id = token(m, "x-request-id")?;
     let Some(id) = id else { return bad(400, "X-Request-Id is missing") };
-    let tenant = match m.header("x-tenant") {
+    let tenant = match m.get("x-tenant") {
         _ if names.tenants.is_empty() => 0,
-        Some(name) => match names.tenants.iter().position(|t| t == name) {
+        Some(name) => match names.tenants.iter().position(|t| t.as_bytes() == name.as_bytes()) {
             Some(tenant) => tenant,
             None => return bad(400, "X-Tenant names no tenant"),
         },
@@ -118,15 +59,15 @@
     if key.is_none() && matches!(settings.classes[class].semantics, Semantics::Keyed { .. }) {
         return bad(400, "Idempotency-Key is missing");
     }
-    let usual = crate::clock::millis(settings.classes[class].give_up);
-    let patience = match m.header("x-deadline") {
+    let usual = millis(settings.classes[class].give_up);
+    let patience = match m.get("x-deadline") {
         None => usual,
-        Some(text) => match deadline(text) {
+        Some(text) => match text.to_str().ok().and_then(deadline) {
             Some(patience) => patience.min(usual),
             None => return bad(400, "X-Deadline is not a number with the unit m or u"),
         },
     };
-    let body: Body = match serde_json::from_slice(&m.body) {
+    let body: Body = match serde_json::from_slice(request.body()) {
         Ok(body) => body,
         Err(e) => return bad(400, format!("the body is malformed: {e}")),
     };
@@ -135,7 +76,7 @@
         class,
         tenant,
         patience,
-        again: m.header("x-retry") == Some("1"),
+        again: m.get("x-retry").is_some_and(|v| v == "1"),
         key,
         parts: parts(body.ranges, settings.shards)?,
         text: body.predicate.into(),
@@ -173,13 +114,32 @@
 }
 
 /// A header whose value goes into frames: there a space, a comma or a line's end would forge another field.
-fn token(m: &Message, name: &str) -> Result<Option<Rc<str>>, Reply> {
-    let Some(value) = m.header(name) else { return Ok(None) };
-    let plain = value.bytes().all(|b| b.is_ascii_graphic() && b != b',');
-    if value.is_empty() || value.len() > TOKEN_CAP || !plain {
-        return bad(400, format!("{name} is malformed"));
+fn token(m: &HeaderMap, name: &str) -> Result<Option<Rc<str>>, Reply> {
+    let mut values = m.get_all(name).iter();
+    let Some(value) = values.next() else { return Ok(None) };
+    // Two ids are none: whoever stands in front may have gone by the other one.
+    let value = value.to_str().ok().filter(|_| values.next().is_none());
+    let plain = |v: &&str| v.bytes().all(|b| b.is_ascii_graphic() && b != b',');
+    match value.filter(plain).filter(|v| !v.is_empty() && v.len() <= TOKEN_CAP) {
+        Some(value) => Ok(Some(value.into())),
+        None => bad(400, format!("{name} is malformed")),
     }
-    Ok(Some(value.into()))
+}
+
+/// Whether the method is one that RFC 9110 (section 9) or RFC 5789 defines; any other is not implemented.
+pub(crate) fn is_standard(method: &Method) -> bool {
+    [
+        Method::GET,
+        Method::HEAD,
+        Method::POST,
+        Method::PUT,
+        Method::DELETE,
+        Method::CONNECT,
+        Method::OPTIONS,
+        Method::TRACE,
+        Method::PATCH,
+    ]
+    .contains(method)
 }
 
 fn deadline(text: &str) -> Option<Micros> {
@@ -197,27 +157,6 @@
     (micros <= LONGEST as f64).then_some(micros as Micros)
 }
 
-/// Encodes a final answer.
-pub fn encode(reply: &Reply, keep_alive: bool) -> Vec<u8> {
-    match reply {
-        Reply::Answer { whole, values } => {
-            let answers = values.iter().map(|(range, blob)| ValueBody { range: *range, blob }).collect();
-            let body = serde_json::to_vec(&AnswerBody { total: *whole, answers }).unwrap_or_default();
-            encode_answer(200, &[("Content-Type", "application/json")], &body, keep_alive)
-        }
-        Reply::Refused { retry_after } => {
-            let seconds = retry_after.map(|at| format!("{:.3}", at as f64 / 1e6));
-            let advice: Vec<(&str, &str)> = seconds.iter().map(|s| ("Retry-After", s.as_str())).collect();
-            encode_answer(503, &advice, b"refused: trying again is harmless\n", keep_alive)
-        }
-        Reply::Failed => encode_answer(502, &[], b"failed\n", keep_alive),
-        Reply::Bad { status, why } => {
-            let allow: &[(&str, &str)] = if *status == 405 { &[("Allow", "POST")] } else { &[] };
-            encode_answer(*status, allow, format!("{why}\n").as_bytes(), keep_alive)
-        }
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -234,11 +173,4 @@
             assert_eq!(deadline(text), None, "{text}");
         }
     }
-
-    #[test]
-    fn refusals_tell_when_to_come_back() {
-        let reply = Reply::Refused { retry_after: Some(1_250_400) };
-        let text = String::from_utf8(encode(&reply, true)).unwrap();
-        assert!(text.starts_with("HTTP/1.1 503 ") && text.contains("\r\nRetry-After: 1.250\r\n"), "{text}");
-    }
 }
--- /dev/null
+++ b/crates/repeats/src/lib.rs
@@ -0,0 +1,361 @@
+//! Idempotency keys whose parts were sent: whether a client's repeat may be served, until when, without a clock.
+//!
+//! Data servers drop a repeated part of a keyed class for a window after its first attempt, and only so long. Within
+//! one query the decision module keeps that limit. It knows nothing of other queries: a client that goes away in the
+//! middle and asks again with the same key brings a query that is new to it. This register stands between. While a
+//! query of a key is in hand, or an attempt that was given up may still run, a repeat is put off; once the window of
+//! a part that may have run is over, nothing sends that part again, and a repeat has failed.
+//!
+//! Every part that was sent is told of ([`Repeats::sent`]) and so is its end ([`Repeats::ended`]), also after its
+//! query has ended. The register holds a bounded number of keys; when it is full, keys that were answered go first,
+//! and if there are none, a new key is put off rather than an old one forgotten.
+
+use plover_model::time::Micros;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+/// What becomes of a query that brings a key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It may be served.
+    Serve,
+    /// Another query of the key is in hand, or one of its attempts may still run: not before this moment.
+    Busy(Micros),
+    /// A part of it may have run, and its repeats are no longer dropped.
+    Over,
+}
+
+/// What the end of an attempt proves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Proof {
+    /// It never ran.
+    NeverRan,
+    /// It has run, and is over.
+    Ran,
+    /// It may have run, or may yet, until it stops being waited for.
+    MayRun,
+}
+
+/// What is known of one part under a key.
+#[derive(Clone, Debug, Default)]
+struct Part {
+    /// When the first attempt that may have run was sent.
+    first: Option<Micros>,
+    /// Attempts that are out.
+    out: u32,
+    /// Attempts that are over and may have run.
+    ran: u32,
+    /// Until when one that was given up may still be begun.
+    until: Micros,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    /// When the time of the query in hand is over, if one is in hand.
+    open: Option<Micros>,
+    /// Whether the last query was answered: its client has no reason to ask again.
+    answered: bool,
+    parts: BTreeMap<usize, Part>,
+    /// Place in the order of forgetting.
+    forget_at: Micros,
+}
+
+/// The register.
+#[derive(Debug)]
+pub struct Repeats {
+    window: Micros,
+    keep: Micros,
+    most: usize,
+    entries: BTreeMap<Rc<str>, Entry>,
+    /// Entries that are not in hand, by when they may be forgotten.
+    order: BTreeSet<(Micros, Rc<str>)>,
+    /// Those of them that were answered.
+    spare: BTreeSet<(Micros, Rc<str>)>,
+}
+
+impl Repeats {
+    /// A register where repeats are dropped for `window` after the first attempt, clients come back for `keep` after
+    /// that at the latest, and so many keys are held at the most.
+    pub fn new(window: Micros, keep: Micros, most: usize) -> Self {
+        let (entries, order, spare) = Default::default();
+        Repeats { window, keep, most, entries, order, spare }
+    }
+
+    /// Takes up a query of this key with these shards, whose client waits until `give_up_at`. Unless it may be
+    /// served, nothing is kept of it.
+    pub fn open(
+        &mut self,
+        now: Micros,
+        key: &Rc<str>,
+        shards: impl Iterator<Item = usize>,
+        give_up_at: Micros,
+    ) -> Verdict {
+        self.sweep(now);
+        if let Some(entry) = self.entries.get(key) {
+            if let Some(until) = entry.open {
+                return Verdict::Busy(until);
+            }
+            let mut busy = None;
+            for part in shards.filter_map(|s| entry.parts.get(&s)) {
+                if part.out > 0 || part.until > now {
+                    busy = busy.max(Some(part.until));
+                } else if part.first.is_some_and(|first| now >= first + self.window) {
+                    return Verdict::Over;
+                }
+            }
+            if let Some(until) = busy {
+                return Verdict::Busy(until);
+            }
+        } else if self.entries.len() >= self.most {
+            match self.spare.pop_first().or_else(|| self.order.first().cloned()) {
+                Some((at, old)) if self.entries.get(&old).is_some_and(|e| e.answered) => {
+                    self.forget(at, &old)
+                }
+                Some((at, _)) => return Verdict::Busy(at),
+                None => return Verdict::Busy(give_up_at),
+            }
+        }
+        let entry = self.entries.entry(key.clone()).or_insert_with(|| Entry {
+            open: None,
+            answered: false,
+            parts: BTreeMap::new(),
+            forget_at: 0,
+        });
+        self.order.remove(&(entry.forget_at, key.clone()));
+        self.spare.remove(&(entry.forget_at, key.clone()));
+        entry.open = Some(give_up_at);
+        entry.answered = false;
+        Verdict::Serve
+    }
+
+    /// Whether the part may be sent at this moment: not once the window of an attempt that may have run is over.
+    pub fn may_send(&self, now: Micros, key: &str, shard: usize) -> bool {
+        let part = self.entries.get(key).and_then(|e| e.parts.get(&shard));
+        part.is_none_or(|p| p.out == 0 && p.first.is_none_or(|first| now < first + self.window))
+    }
+
+    /// An attempt at a part goes out, and is waited for until `until`.
+    pub fn sent(&mut self, now: Micros, key: &str, shard: usize, until: Micros) {
+        let Some(entry) = self.entries.get_mut(key) else { return };
+        let part = entry.parts.entry(shard).or_default();
+        part.first.get_or_insert(now);
+        part.out += 1;
+        part.until = part.until.max(until);
+    }
+
+    /// An attempt has ended.
+    pub fn ended(&mut self, now: Micros, key: &str, shard: usize, proof: Proof) {
+        let Some(entry) = self.entries.get_mut(key) else { return };
+        let Some(part) = entry.parts.get_mut(&shard) else { return };
+        part.out = part.out.saturating_sub(1);
+        match proof {
+            Proof::NeverRan if part.out == 0 && part.ran == 0 => {
+                entry.parts.remove(&shard);
+            }
+            Proof::NeverRan => {}
+            Proof::Ran => {
+                part.ran += 1;
+                part.until = now;
+            }
+            Proof::MayRun => part.ran += 1,
+        }
+    }
+
+    /// The query of this key has ended; true: with an answer, which its client takes for an end.
+    pub fn close(&mut self, now: Micros, key: &Rc<str>, answered: bool) {
+        let Some(entry) = self.entries.get_mut(key) else { return };
+        entry.open = None;
+        entry.answered = answered;
+        let last = entry.parts.values().map(|p| p.first.unwrap_or(now).max(p.until)).max().unwrap_or(now);
+        entry.forget_at = last + self.window + self.keep;
+        if entry.parts.is_empty() {
+            self.entries.remove(key);
+            return;
+        }
+        self.order.insert((entry.forget_at, key.clone()));
+        if answered {
+            self.spare.insert((entry.forget_at, key.clone()));
+        }
+    }
+
+    /// Keys that are held.
+    pub fn held(&self) -> usize {
+        self.entries.len()
+    }
+
+    fn sweep(&mut self, now: Micros) {
+        while let Some((at, key)) = self.order.first().filter(|(at, _)| *at <= now).cloned() {
+            self.forget_unless_out(now, at, &key);
+        }
+    }
+
+    /// An attempt that is out for longer than anybody waits should not be there; it must not be forgotten all the same.
+    fn forget_unless_out(&mut self, now: Micros, at: Micros, key: &Rc<str>) {
+        let Some(entry) = self.entries.get_mut(key).filter(|e| e.parts.values().any(|p| p.out > 0)) else {
+            return self.forget(at, key);
+        };
+        entry.forget_at = now + self.window;
+        self.order.remove(&(at, key.clone()));
+        self.order.insert((entry.forget_at, key.clone()));
+        if self.spare.remove(&(at, key.clone())) {
+            self.spare.insert((entry.forget_at, key.clone()));
+        }
+    }
+
+    fn forget(&mut self, at: Micros, key: &Rc<str>) {
+        self.order.remove(&(at, key.clone()));
+        self.spare.remove(&(at, key.clone()));
+        self.entries.remove(key);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    const SECOND: Micros = 1_000_000;
+    const WINDOW: Micros = 5 * SECOND;
+
+    fn register() -> Repeats {
+        Repeats::new(WINDOW, WINDOW, 100)
+    }
+
+    fn key(n: usize) -> Rc<str> {
+        format!("k{n}").into()
+    }
+
+    fn open(r: &mut Repeats, now: Micros, n: usize) -> Verdict {
+        r.open(now, &key(n), [0, 1].into_iter(), now + 4 * SECOND)
+    }
+
+    #[test]
+    fn a_key_in_hand_is_not_taken_up_twice() {
+        let mut r = register();
+        assert_eq!(open(&mut r, 0, 1), Verdict::Serve);
+        assert_eq!(open(&mut r, SECOND, 1), Verdict::Busy(4 * SECOND));
+        assert_eq!(open(&mut r, SECOND, 2), Verdict::Serve);
+    }
+
+    /// The client went away with an attempt out: that may run until the broker had told it to.
+    #[test]
+    fn a_repeat_waits_while_the_first_attempt_may_run() {
+        let mut r = register();
+        open(&mut r, 0, 1);
+        r.sent(0, "k1", 0, 2 * SECOND);
+        r.close(SECOND, &key(1), false);
+        assert_eq!(open(&mut r, SECOND, 1), Verdict::Busy(2 * SECOND));
+        r.ended(SECOND, "k1", 0, Proof::MayRun);
+        assert_eq!(open(&mut r, SECOND, 1), Verdict::Busy(2 * SECOND));
+        assert_eq!(open(&mut r, 2 * SECOND, 1), Verdict::Serve);
+        assert!(r.may_send(WINDOW - 1, "k1", 0) && !r.may_send(WINDOW, "k1", 0));
+        assert!(r.may_send(WINDOW, "k1", 1), "a part that was never sent is no repeat");
+    }
+
+    #[test]
+    fn what_ran_or_never_ran_holds_up_no_repeat_within_the_window() {
+        for proof in [Proof::Ran, Proof::NeverRan] {
+            let mut r = register();
+            open(&mut r, 0, 1);
+            r.sent(0, "k1", 0, 2 * SECOND);
+            r.ended(10, "k1", 0, proof);
+            r.close(10, &key(1), false);
+            assert_eq!(open(&mut r, 20, 1), Verdict::Serve);
+        }
+    }
+
+    #[test]
+    fn after_the_window_only_what_never_ran_is_sent_again() {
+        for (proof, verdict) in
+            [(Proof::Ran, Verdict::Over), (Proof::MayRun, Verdict::Over), (Proof::NeverRan, Verdict::Serve)]
+        {
+            let mut r = register();
+            open(&mut r, 0, 1);
+            r.sent(0, "k1", 0, SECOND);
+            r.ended(10, "k1", 0, proof);
+            r.close(10, &key(1), false);
+            assert_eq!(open(&mut r, WINDOW, 1), verdict);
+        }
+    }
+
+    /// A full register must not let a repeat through by forgetting the key that it repeats.
+    #[test]
+    fn a_full_register_forgets_what_was_answered_and_else_puts_off() {
+        let mut r = Repeats::new(WINDOW, WINDOW, 2);
+        for n in 0..2 {
+            open(&mut r, 0, n);
+            r.sent(0, &key(n), 0, SECOND);
+            r.ended(10, &key(n), 0, Proof::Ran);
+            r.close(10, &key(n), n == 1);
+        }
+        assert_eq!(open(&mut r, 20, 2), Verdict::Serve);
+        assert_eq!(open(&mut r, 20, 3), Verdict::Busy(SECOND.max(10) - SECOND + 10 + 2 * WINDOW));
+        assert_eq!(open(&mut r, WINDOW, 0), Verdict::Over);
+        assert_eq!((r.held(), open(&mut r, 20 + 2 * WINDOW, 3)), (2, Verdict::Serve));
+    }
+
+    #[derive(Clone, Debug)]
+    enum Move {
+        Open(usize),
+        Send(usize, usize),
+        End(usize, usize, Proof),
+        Close(usize, bool),
+        Wait(Micros),
+    }
+
+    fn moves() -> impl Strategy<Value = Vec<Move>> {
+        let proof = prop::sample::select(vec![Proof::Ran, Proof::NeverRan, Proof::MayRun]);
+        let one = prop_oneof![
+            (0usize..4).prop_map(Move::Open),
+            (0usize..4, 0usize..2).prop_map(|(k, s)| Move::Send(k, s)),
+            (0usize..4, 0usize..2, proof).prop_map(|(k, s, p)| Move::End(k, s, p)),
+            (0usize..4, any::<bool>()).prop_map(|(k, a)| Move::Close(k, a)),
+            (0..3 * SECOND).prop_map(Move::Wait),
+        ];
+        prop::collection::vec(one, 0..200)
+    }
+
+    proptest! {
+        /// Clients that repeat keys at will, attempts that end in any way and order: no part is out twice, and none
+        /// that may have run is sent once its window is over, for as long as clients come back.
+        #[test]
+        fn no_part_is_sent_twice_at_once_or_beyond_its_window(moves in moves()) {
+            let mut r = Repeats::new(WINDOW, WINDOW, 3);
+            let mut now = 0;
+            let mut in_hand = [false; 4];
+            // Of each part: attempts out, and when the first that may have run was sent.
+            let mut out = [[0u32; 2]; 4];
+            let mut first = [[None::<Micros>; 2]; 4];
+            let mut ran = [[0u32; 2]; 4];
+            for m in moves {
+                match m {
+                    Move::Open(k) => if open(&mut r, now, k) == Verdict::Serve {
+                        prop_assert!(!in_hand[k] && out[k] == [0, 0]);
+                        in_hand[k] = true;
+                    },
+                    Move::Send(k, s) => if in_hand[k] && r.may_send(now, &key(k), s) {
+                        prop_assert_eq!(out[k][s], 0);
+                        if let Some(first) = first[k][s] { prop_assert!(now < first + WINDOW || now >= first + 2 * WINDOW); }
+                        if ran[k][s] == 0 { first[k][s] = Some(now); }
+                        out[k][s] += 1;
+                        r.sent(now, &key(k), s, now + SECOND);
+                    },
+                    Move::End(k, s, proof) => if out[k][s] > 0 {
+                        out[k][s] -= 1;
+                        if proof != Proof::NeverRan { ran[k][s] += 1; }
+                        if ran[k][s] == 0 { first[k][s] = None; }
+                        r.ended(now, &key(k), s, proof);
+                    },
+                    Move::Close(k, answered) => if in_hand[k] {
+                        in_hand[k] = false;
+                        // A client that has its answer asks nothing more of that key.
+                        r.close(now, &key(k), false);
+                        let _ = answered;
+                    },
+                    Move::Wait(time) => now += time,
+                }
+                prop_assert!(r.held() <= 3);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/fleet.rs
@@ -0,0 +1,257 @@
+//! A discovery and some data servers, on a thread of their own.
+
+use crate::books::Books;
+use crate::discovery::Discovery;
+use crate::server::{Fault, Server, Switch, accept};
+use async_channel::Sender;
+use async_executor::{LocalExecutor, Task};
+use async_io::Async;
+use serde_json::{Value, json};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// What a fleet is made of.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    /// Data servers; they take their places in the cells by turns.
+    pub servers: usize,
+    /// Cells, each of which holds shards of its own.
+    pub cells: usize,
+    /// How long a part takes.
+    pub work: Duration,
+    /// After a start a server is warm after this time.
+    pub warm_after: Duration,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Plan { servers: 4, cells: 1, work: Duration::from_millis(2), warm_after: Duration::from_secs(10) }
+    }
+}
+
+/// Word to the thread.
+enum Word {
+    State(usize, &'static str),
+    Silent(bool),
+    Kill(usize),
+    Revive(usize),
+}
+
+/// A discovery and some data servers. Dropped, all of them end.
+pub struct Fleet {
+    /// Where discovery listens.
+    pub discovery: SocketAddr,
+    servers: Vec<ServerHandle>,
+    books: Arc<Mutex<Books>>,
+    words: Sender<Word>,
+    known: Value,
+    thread: Option<JoinHandle<()>>,
+}
+
+/// One data server, as seen from outside.
+#[derive(Clone)]
+pub struct ServerHandle {
+    /// Its name.
+    pub name: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    switch: Arc<Mutex<Switch>>,
+}
+
+struct Running {
+    server: Rc<Server>,
+    cell: usize,
+    address: SocketAddr,
+    listening: Option<Task<()>>,
+    boot_ms: u128,
+}
+
+fn unix_ms() -> u128 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis())
+}
+
+impl Running {
+    fn entry(&self, state: &str) -> Value {
+        json!({"uid": self.server.name, "endpoint": self.address.to_string(), "az": "z", "model": "m",
+            "pod_group": self.cell, "state": state, "capacity_hint": 1.0, "boot_ms": self.boot_ms as u64})
+    }
+}
+
+impl Fleet {
+    /// Starts all of it on loopback.
+    pub fn start(plan: Plan) -> io::Result<Fleet> {
+        let loopback = || TcpListener::bind((Ipv4Addr::LOCALHOST, 0));
+        let books = Arc::new(Mutex::new(Books::default()));
+        let discovery_listener = loopback()?;
+        let discovery = discovery_listener.local_addr()?;
+        let listeners: Vec<TcpListener> = (0..plan.servers).map(|_| loopback()).collect::<io::Result<_>>()?;
+        let mut servers = Vec::new();
+        for (n, listener) in listeners.iter().enumerate() {
+            let switch = Arc::new(Mutex::new(Switch { work: plan.work, ..Switch::default() }));
+            servers.push(ServerHandle { name: format!("s{n}"), address: listener.local_addr()?, switch });
+        }
+        let (words, heard) = async_channel::unbounded();
+        let (ready, started) = std::sync::mpsc::channel();
+        let (handles, shared_books) = (servers.clone(), books.clone());
+        let thread = std::thread::Builder::new().name("stand-ins".to_owned()).spawn(move || {
+            let executor = Rc::new(LocalExecutor::new());
+            let list = Discovery::new();
+            let mut running: BTreeMap<usize, Running> = BTreeMap::new();
+            for (n, (handle, listener)) in handles.into_iter().zip(listeners).enumerate() {
+                let server = Rc::new(Server {
+                    name: handle.name,
+                    switch: handle.switch,
+                    books: shared_books.clone(),
+                    held: Cell::new(0),
+                    count: Cell::new(0),
+                    alive: RefCell::new(async_channel::bounded(1)),
+                });
+                let task = executor.spawn(accept(server.clone(), listener, executor.clone()));
+                let cell = n % plan.cells.max(1);
+                let one =
+                    Running { server, cell, address: handle.address, listening: Some(task), boot_ms: 0 };
+                list.set(one.entry("active"));
+                running.insert(n, one);
+            }
+            let _ = ready.send(list.list(None));
+            let serve = serve_discovery(list.clone(), discovery_listener, executor.clone());
+            let _discovery = executor.spawn(serve);
+            async_io::block_on(executor.run(async {
+                while let Ok(word) = heard.recv().await {
+                    obey(word, &mut running, &list, &executor, plan).await;
+                }
+            }));
+        })?;
+        let known = started.recv().map_err(io::Error::other)?;
+        Ok(Fleet { discovery, servers, books, words, known, thread: Some(thread) })
+    }
+
+    /// The data servers.
+    pub fn servers(&self) -> &[ServerHandle] {
+        &self.servers
+    }
+
+    /// The list as it was at the start, in discovery's form.
+    pub fn known(&self) -> &Value {
+        &self.known
+    }
+
+    /// What came to the data servers.
+    pub fn books<T>(&self, read: impl FnOnce(&Books) -> T) -> T {
+        // A thread that broke while it held them has said so itself.
+        let books = self.books.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        read(&books)
+    }
+
+    /// Parts and calls that came to the data servers.
+    pub fn attempts(&self) -> (u64, u64) {
+        self.books(Books::counts)
+    }
+
+    fn say(&self, word: Word) {
+        let _ = self.words.try_send(word);
+    }
+
+    /// Tells that a server drains.
+    pub fn drain(&self, n: usize) {
+        self.servers[n].with(|s| s.drained = Some(Instant::now()));
+        self.say(Word::State(n, "leaving"));
+    }
+
+    /// Ends a server's process: its connections are reset and new ones refused. The list knows nothing of it.
+    pub fn kill(&self, n: usize) {
+        self.servers[n].with(|s| s.fault = Fault::Dead);
+        self.say(Word::Kill(n));
+    }
+
+    /// Starts a dead server again: cold, and told so by the list.
+    pub fn revive(&self, n: usize) {
+        self.say(Word::Revive(n));
+    }
+
+    /// Whether discovery takes calls and answers none.
+    pub fn silence_discovery(&self, silent: bool) {
+        self.say(Word::Silent(silent));
+    }
+}
+
+impl ServerHandle {
+    fn with(&self, change: impl FnOnce(&mut Switch)) {
+        if let Ok(mut switch) = self.switch.lock() {
+            change(&mut switch);
+        }
+    }
+
+    /// Makes it faulty, or sound again; for its death see [`Fleet::kill`].
+    pub fn set_fault(&self, fault: Fault) {
+        self.with(|s| s.fault = fault);
+    }
+
+    /// How long a part takes from now on.
+    pub fn set_work(&self, work: Duration) {
+        self.with(|s| s.work = work);
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.words.close();
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+async fn obey(
+    word: Word,
+    running: &mut BTreeMap<usize, Running>,
+    list: &Discovery,
+    executor: &Rc<LocalExecutor<'static>>,
+    plan: Plan,
+) {
+    match word {
+        Word::Silent(silent) => list.set_silent(silent),
+        Word::State(n, state) => {
+            if let Some(one) = running.get(&n) {
+                list.set(one.entry(state));
+            }
+        }
+        Word::Kill(n) => {
+            if let Some(one) = running.get_mut(&n) {
+                if let Some(task) = one.listening.take() {
+                    task.cancel().await;
+                }
+                *one.server.alive.borrow_mut() = async_channel::bounded(1);
+            }
+        }
+        Word::Revive(n) => {
+            let Some(one) = running.get_mut(&n) else { return };
+            if one.listening.is_some() {
+                return;
+            }
+            // The address is its own: what still holds it is its connections of before, on their way out.
+            let Ok(listener) = TcpListener::bind(one.address) else { return };
+            one.boot_ms = unix_ms();
+            if let Ok(mut switch) = one.server.switch.lock() {
+                switch.fault = Fault::None;
+                switch.cold = Some((Instant::now(), plan.warm_after));
+                switch.drained = None;
+            }
+            one.listening = Some(executor.spawn(accept(one.server.clone(), listener, executor.clone())));
+            list.set(one.entry("active"));
+        }
+    }
+}
+
+async fn serve_discovery(list: Rc<Discovery>, listener: TcpListener, executor: Rc<LocalExecutor<'static>>) {
+    let Ok(listener) = Async::new(listener) else { return };
+    while let Ok((stream, _)) = listener.accept().await {
+        executor.spawn(list.clone().connection(stream)).detach();
+    }
+}
