Decide what other proxies are told: endpoints, leases on cold servers, quorum

Need: handing decisions through xDS asks for a bound on what a cold server is sent by proxies that are late, cut off or carry most of the traffic, and for ejection that no single proxy's view can bring about. Weights bound neither.

Nothing uses it yet.

--- a/crates/brookbend/src/api.rs
+++ b/crates/brookbend/src/api.rs
@@ -8,7 +8,7 @@
 pub type Ms = f64;
 
 /// Name of a server; the same at every aggregator, and kept over restarts of its process.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct NodeId(pub Arc<str>);
 
 /// Name of a query or of one of its parts. Never used twice.
--- a/crates/brookbend/src/choice.rs
+++ b/crates/brookbend/src/choice.rs
@@ -127,14 +127,14 @@
 
 /// The decisions of one aggregator.
 pub struct Aggregator {
-    set: Settings,
+    pub(crate) set: Settings,
     dice: Dice,
-    now: Ms,
+    pub(crate) now: Ms,
     out: Vec<Action>,
-    fleet: Fleet,
+    pub(crate) fleet: Fleet,
     desk: Desk,
-    learned: Vec<Learned>,
-    fleet_pace: f64,
+    pub(crate) learned: Vec<Learned>,
+    pub(crate) fleet_pace: f64,
     next_second: Ms,
     tenant_taken: Vec<VecDeque<Ms>>,
     ask_at: Option<Ms>,
@@ -782,7 +782,7 @@
         s.others + (s.reported.0 - drained).max(0.0)
     }
 
-    fn landed(&mut self, f: &Flight, outcome: Outcome, elapsed: Ms) {
+    pub(crate) fn landed(&mut self, f: &Flight, outcome: Outcome, elapsed: Ms) {
         let elapsed = if elapsed.is_finite() { elapsed.max(0.0) } else { self.now - f.sent };
         let aim = self.shortest_aim();
         let jitter = 0.75 + 0.5 * self.dice.random();
--- a/crates/brookbend/src/lib.rs
+++ b/crates/brookbend/src/lib.rs
@@ -53,5 +53,6 @@
 pub mod room;
 pub mod settings;
 mod state;
+pub mod view;
 
 pub use choice::Aggregator;
--- /dev/null
+++ b/crates/brookbend/src/view.rs
@@ -0,0 +1,181 @@
+//! What the module holds of each server, to be read by whoever hands its decisions on; and what others saw, in bulk.
+//!
+//! Nothing here decides anything: reports go through the same records as the module's own attempts.
+
+use crate::api::*;
+use crate::choice::Aggregator;
+use crate::state::{Flight, Server};
+
+/// Most attempts that one report stands for. Health is a matter of shares and of failures in a row: what a thousand
+/// attempts say beyond this is no news, and would drown what others report.
+const SAMPLES: u64 = 8;
+
+/// One server as the module sees it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServerView {
+    /// The server.
+    pub node: NodeId,
+    /// Its cell.
+    pub cell: usize,
+    /// Its zone.
+    pub zone: Option<usize>,
+    /// Its state in the list.
+    pub state: NodeState,
+    /// Until when it is passed over for its failures, or since it is full.
+    pub ejected_until: Option<Ms>,
+    /// When it started, if it may still be cold.
+    pub cold_since: Option<Ms>,
+    /// Time until an answer per work out there, against the fleet's: 1 is usual.
+    pub pace: f64,
+    /// Share of failures of late.
+    pub errors: f64,
+}
+
+/// What others saw at a server over some time, as a load report tells it.
+#[derive(Clone, Debug)]
+pub struct Bulk {
+    /// The server.
+    pub node: NodeId,
+    /// Attempts that were served.
+    pub served: u64,
+    /// Attempts that ended in an error.
+    pub errors: u64,
+    /// Attempts that met no connection, or lost it.
+    pub lost: u64,
+    /// Mean time of those that were served; `None`: not told.
+    pub elapsed: Option<Ms>,
+}
+
+impl Aggregator {
+    /// All servers that the list names, by name. Those that are gone are left out.
+    pub fn views(&self, now: Ms) -> Vec<ServerView> {
+        let fleet = &self.fleet;
+        let view = |s: &Server| ServerView {
+            node: s.node.clone(),
+            cell: s.cell,
+            zone: s.zone,
+            state: s.state,
+            ejected_until: (s.shun_until > now).then_some(s.shun_until),
+            cold_since: s.cold_since.filter(|since| since + self.set.cold.warm_after > now),
+            pace: s.pace / self.fleet_pace.max(1e-9),
+            errors: s.errors,
+        };
+        let servers = fleet.by_name.values().map(|i| &fleet.servers[*i]);
+        servers.filter(|s| s.state != NodeState::Gone).map(view).collect()
+    }
+
+    /// Takes what others saw since the last report, as a few attempts in the same proportion: failures first, so that the
+    /// answers beside them tell of a server that is up.
+    pub fn report_bulk(&mut self, now: Ms, class: ClassIndex, reports: &[Bulk]) {
+        let Some(learned) = self.learned.get(class.0) else { return };
+        let work = learned.unit.max(1.0);
+        self.now = now;
+        for r in reports {
+            let Some(&server) = self.fleet.by_name.get(&r.node) else { continue };
+            let all = r.served + r.errors + r.lost;
+            let of = |n: u64| if all <= SAMPLES { n } else { (n * SAMPLES).div_ceil(all) };
+            let usual = work * self.fleet_pace;
+            let ends =
+                [(Outcome::ConnectionLost, r.lost), (Outcome::Error, r.errors), (Outcome::Served, r.served)];
+            for (outcome, n) in ends {
+                for _ in 0..of(n) {
+                    let elapsed = r.elapsed.unwrap_or(usual);
+                    let sent = now - elapsed.min(usual);
+                    let flight =
+                        Flight { server, class: class.0, work: 0.0, ahead: work, sent, expected: usual };
+                    self.landed(&flight, outcome, elapsed);
+                }
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn aggregator() -> Aggregator {
+        let class = Class {
+            aim: 1000.0,
+            give_up: 4000.0,
+            worth: 1.0,
+            late_worth: 0.0,
+            semantics: Semantics::Safe,
+            need: 1.0,
+            floor: 1.0,
+            partial_earns: 0.0,
+            second_step: false,
+        };
+        let settings = Settings {
+            classes: vec![class],
+            tenants: vec![],
+            aggregators: 1,
+            zone: None,
+            over_share_worth: 1.0,
+            worth_by_work: false,
+            marks_again: false,
+            cells: 2,
+            reach: 1,
+            shards: 2,
+            batch: 4,
+            call_work: 1.0,
+            max_attempts: 4,
+            second_copies: false,
+            cancel: true,
+            max_retry_after: None,
+            messages: false,
+            tick: 5.0,
+            list: ListSource::Pushed,
+            ask_within: 10_000.0,
+            budget: None,
+            cold: ColdRule { from: 0.2, warm_after: 10_000.0, fall_multiple: 2.5, fall_after: 1000.0 },
+        };
+        let mut aggregator = Aggregator::new(settings, 7);
+        let member = |n: usize, state, started| Member {
+            node: NodeId(format!("s{n}").into()),
+            cell: n % 2,
+            state,
+            zone: Some(n),
+            started,
+        };
+        let members = vec![
+            member(0, NodeState::Serving, None),
+            member(1, NodeState::Serving, Some(100.0)),
+            member(2, NodeState::Draining, None),
+            member(3, NodeState::Gone, None),
+        ];
+        aggregator.on_batch(200.0, vec![Event::List { kind: ListKind::Complete, members }]);
+        aggregator
+    }
+
+    fn bulk(n: usize, served: u64, errors: u64, lost: u64) -> Bulk {
+        Bulk { node: NodeId(format!("s{n}").into()), served, errors, lost, elapsed: Some(10.0) }
+    }
+
+    #[test]
+    fn views_tell_what_the_list_and_the_clock_say() {
+        let aggregator = aggregator();
+        let seen: Vec<_> =
+            aggregator.views(200.0).into_iter().map(|v| (v.cell, v.state, v.cold_since)).collect();
+        let expected = [
+            (0, NodeState::Serving, None),
+            (1, NodeState::Serving, Some(100.0)),
+            (0, NodeState::Draining, None),
+        ];
+        assert_eq!(seen, expected);
+        assert_eq!(aggregator.views(10_100.0)[1].cold_since, None, "it is warm by now");
+    }
+
+    #[test]
+    fn what_others_saw_ejects_a_server_as_own_attempts_would_and_its_recovery_shows() {
+        let mut aggregator = aggregator();
+        let class = ClassIndex(0);
+        aggregator.report_bulk(1000.0, class, &[bulk(0, 0, 500, 0), bulk(1, 500, 1, 0), bulk(9, 0, 5, 0)]);
+        let views = aggregator.views(1001.0);
+        assert!(views[0].ejected_until.is_some() && views[1].ejected_until.is_none(), "{views:?}");
+        assert!(views[0].errors > 0.4 && views[1].errors < 0.2, "{views:?}");
+        aggregator.report_bulk(9000.0, class, &[bulk(0, 500, 0, 0)]);
+        assert!(aggregator.views(9001.0)[0].errors < 0.2);
+        aggregator.report_bulk(9002.0, ClassIndex(7), &[bulk(0, 1, 1, 1)]);
+    }
+}
--- /dev/null
+++ b/crates/steering/src/lib.rs
@@ -0,0 +1,43 @@
+//! What other proxies are told of the data servers, without I/O or clock.
+//!
+//! Whether a server is sound, ejected, draining or cold is decided by the module; this package turns those views into
+//! something that many proxies can act on while each of them may be late, cut off, or carry most of the traffic:
+//!
+//! - [`cold`] says how many requests a cold server may have out from everybody together;
+//! - [`leases`] deals those out to proxies, and counts each until its proxy can no longer act on it;
+//! - [`quorum`] lets the views of several proxies, and never of one, take a server out, and not too many of them;
+//! - [`assign`] makes the clusters and endpoints that one proxy is told of.
+
+pub mod assign;
+pub mod cold;
+pub mod leases;
+pub mod quorum;
+
+use plover_model::server::{NodeId, NodeState};
+use plover_model::time::Micros;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Name of a proxy, the same over its streams.
+pub type Proxy = Arc<str>;
+
+/// A server as the module sees it, and where it listens.
+#[derive(Clone, Debug, PartialEq)]
+pub struct View {
+    /// Its name.
+    pub name: NodeId,
+    /// Where it listens.
+    pub endpoint: SocketAddr,
+    /// Its cell: servers of one cell hold the same shards.
+    pub cell: usize,
+    /// Index of its zone.
+    pub zone: Option<usize>,
+    /// Its state in the list.
+    pub state: NodeState,
+    /// Until when it is passed over for its failures.
+    pub ejected_until: Option<Micros>,
+    /// When its process started, if it may still be cold.
+    pub cold_since: Option<Micros>,
+    /// Time until an answer per work out there, against the fleet's: 1 is usual, 2 half as fast.
+    pub pace: f64,
+}
