--- a/crates/ploverport/src/demo.rs
+++ b/crates/ploverport/src/demo.rs
@@ -1,43 +1,26 @@
 //! `ploverport demo`: the main job on a new machine, without set-up.
 
 use crate::cli::DemoArguments;
-use crate::serve::cannot_start;
+use crate::serve::{cannot_start, run_with};
 use plover_broker::operator::Operator;
-use plover_broker::turns;
 use plover_standins::{Deployment, Fleet, Plan};
 use std::io::Write;
 use std::net::SocketAddr;
 use std::process::ExitCode;
-use tracing::{Level, error};
 
 /// Serves with stand-ins until Ctrl-C.
 pub(crate) fn run(arguments: &DemoArguments) -> ExitCode {
-    plover_telemetry::init(plover_telemetry::Format::Logfmt, Level::INFO);
+    // Before the stand-ins: what keeps them from starting is told too.
+    plover_telemetry::init(plover_telemetry::Format::Logfmt, tracing::Level::INFO);
     let fleet = match Fleet::start(Plan { servers: arguments.servers.into(), ..Plan::default() }) {
         Ok(fleet) => fleet,
         Err(error) => return cannot_start(&error),
     };
-    let signals = match turns::signals() {
-        Ok(signals) => signals,
-        Err(error) => return cannot_start(&error),
-    };
     let configuration = Deployment::default().configuration(&fleet, &arguments.listen.to_string());
     let text = format!("listen-http2 {}\ngather-time 5ms\n", arguments.http2);
     let read = || Ok((plover_config::check(&configuration, |_| None)?, Operator::of_text("demo", &text)?));
-    let (config, operator) = match read() {
-        Ok(both) => both,
-        Err(error) => {
-            let error: String = error;
-            error!(name: "bad_config", error);
-            return ExitCode::FAILURE;
-        }
-    };
     let servers = fleet.servers().len();
-    let run = turns::run(config, operator, signals, |http1, http2| welcome(servers, http1, http2));
-    match run {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => cannot_start(&error),
-    }
+    run_with(read, |http1, http2| welcome(servers, http1, http2))
 }
 
 fn welcome(servers: usize, http1: SocketAddr, http2: Option<SocketAddr>) {
