Begin turns at once when no answer is awaited, and show HTTP/2's guards one by one

Change: the pacing also goes by whether any attempt is still out (as RFC 896 does for small segments): nothing out, the turn begins. It holds with gather-time alone; turns a tick apart stay as they are. Unused functions are gone.

The new floods show a fault that is left open here: more silent connections than seats push usual clients out.

--- a/crates/broker/src/inbox.rs
+++ b/crates/broker/src/inbox.rs
@@ -44,18 +44,29 @@
     next_query: Cell<QueryId>,
     /// Queries among what waits.
     asks: Cell<usize>,
+    /// Ends of attempts among what waits.
+    ends: Cell<usize>,
 }
 
 impl Default for Inbox {
     fn default() -> Self {
         let bell = async_channel::bounded(1);
-        Inbox { queue: RefCell::default(), bell, next_query: Cell::new(1), asks: Cell::new(0) }
+        Inbox {
+            queue: RefCell::default(),
+            bell,
+            next_query: Cell::new(1),
+            asks: Cell::new(0),
+            ends: Cell::new(0),
+        }
     }
 }
 
 impl Inbox {
     /// Puts something in and wakes the loop.
     pub fn put(&self, input: Input) {
+        if matches!(input, Input::Line(_, LineEvent::Frame(FromServer::Answer { .. }))) {
+            self.ends.set(self.ends.get() + 1);
+        }
         self.queue.borrow_mut().push(input);
         let _ = self.bell.0.try_send(());
     }
@@ -72,12 +83,22 @@
     pub fn take(&self) -> Vec<Input> {
         let _ = self.bell.1.try_recv();
         self.asks.set(0);
+        self.ends.set(0);
         std::mem::take(&mut *self.queue.borrow_mut())
     }
     /// Queries that wait to be taken.
     pub fn asks(&self) -> usize {
         self.asks.get()
     }
+    /// Ends of attempts that wait to be taken. What ends with its connection is not counted: nothing hangs on it but
+    /// how soon a turn begins.
+    pub fn ends(&self) -> usize {
+        self.ends.get()
+    }
+    /// Waits until something further is put in.
+    pub async fn further(&self) {
+        let _ = self.bell.1.recv().await;
+    }
     /// Waits until something is there.
     pub async fn wait(&self) {
         if self.queue.borrow().is_empty() {
--- a/crates/broker/src/queries.rs
+++ b/crates/broker/src/queries.rs
@@ -29,12 +29,16 @@
 }
 
 impl Pending {
-    /// The room that it takes: itself and its parts.
     fn units(&self) -> usize {
-        1 + self.ask.parts.len()
+        units(&self.ask)
     }
 }
 
+/// The room that a query takes: itself and its parts.
+fn units(ask: &Ask) -> usize {
+    1 + ask.parts.len()
+}
+
 /// Why a dispatch does not go out.
 #[derive(Debug, PartialEq, Eq)]
 pub(crate) enum Held {
@@ -102,7 +106,7 @@
             let why = "X-Request-Id is that of a request in hand".to_owned();
             return answered(Reply::Bad { status: 400, why });
         }
-        let units = 1 + ask.parts.len();
+        let units = units(&ask);
         if !self.shares.take(connection, units) {
             info!(name: "share_full", connection, held = self.shares.held());
             return answered(Reply::Refused { retry_after: self.max_retry_after });
--- a/crates/broker/src/turns.rs
+++ b/crates/broker/src/turns.rs
@@ -157,13 +157,23 @@
             Timer::at(self.clock.instant(due)).await;
         };
         self.inbox.wait().or(timer).await;
-        let next = self.pacing.earliest(now, self.queries.len() + self.inbox.asks());
-        if self.clock.now() < next {
-            Timer::at(self.clock.instant(next)).await;
-        } else {
-            // What else the sockets hold by now comes along.
-            yield_now().await;
+        loop {
+            let in_hand = self.queries.len() + self.inbox.asks();
+            let awaited = self.upstream.out().saturating_sub(self.inbox.ends());
+            let next = self.pacing.earliest(now, in_hand, awaited);
+            if self.clock.now() >= next {
+                break;
+            }
+            let time = async {
+                Timer::at(self.clock.instant(next)).await;
+            };
+            if !self.pacing.heeds_news() {
+                return time.await;
+            }
+            self.inbox.further().or(time).await;
         }
+        // What else the sockets hold by now comes along.
+        yield_now().await;
     }
 
     fn turn(&mut self, now: Micros) {
--- a/crates/broker/src/upstream/mod.rs
+++ b/crates/broker/src/upstream/mod.rs
@@ -401,6 +401,11 @@
         std::mem::take(&mut self.ended)
     }
 
+    /// Attempts that are out.
+    pub fn out(&self) -> usize {
+        self.flights.len()
+    }
+
     /// Whether some have ended that were not taken.
     pub fn has_ended(&self) -> bool {
         !self.ended.is_empty()
--- a/crates/h2-guard/src/lib.rs
+++ b/crates/h2-guard/src/lib.rs
@@ -140,9 +140,4 @@
     pub fn half_since(&self) -> Option<Micros> {
         self.begun
     }
-
-    /// Whether the client has said all that a connection begins with.
-    pub fn is_settled(&self) -> bool {
-        self.settled
-    }
 }
--- a/crates/pacing/src/lib.rs
+++ b/crates/pacing/src/lib.rs
@@ -3,7 +3,11 @@
 //! Parts that go to one server in one turn share a call, and each call costs the server work of its own, so that a
 //! busy broker does well to gather for a while before it decides. An idle one gains nothing by it: nobody else is
 //! there to share with, and its one client waits. The rule here goes by how many queries are in hand: one alone is
-//! served at once, and the wait grows with each further one up to the most.
+//! served at once, and the wait grows with each further one up to the most. And it goes by whether anything is still
+//! awaited from the data servers: once all that is out has been answered, what is in hand waits for nobody but the
+//! next turn, so that begins (RFC 896 holds small segments back by the same reasoning: only while something sent
+//! before is not acknowledged). While servers are slow, something is always out and the gathering is whole; while they
+//! are fast, calls shared would save them work that nobody waits for.
 //!
 //! It does not go by the rate of arrivals: a client that asks one query after another raises that rate as soon as it
 //! is served at once, and the wait that follows lowers it again, so that such a rule swings to and fro.
@@ -18,7 +22,7 @@
 pub enum Pacing {
     /// So far apart whatever is in hand.
     Fixed(Micros),
-    /// At once where one query is in hand, up to so far apart where many are.
+    /// At once where one query is in hand or nothing is awaited, up to so far apart where many are.
     Gather(Micros),
 }
 
@@ -35,15 +39,17 @@
         }
     }
 
-    /// The longest that a turn is put off.
-    pub fn most(self) -> Micros {
-        match self {
-            Pacing::Fixed(most) | Pacing::Gather(most) => most,
-        }
+    /// Whether news may bring the next turn forward.
+    pub fn heeds_news(self) -> bool {
+        matches!(self, Pacing::Gather(_))
     }
 
-    /// When the next turn begins at the earliest, after one that began at `last`.
-    pub fn earliest(self, last: Micros, in_hand: usize) -> Micros {
+    /// When the next turn begins at the earliest, after one that began at `last`: with so many queries in hand, and so
+    /// many attempts out whose end is not known yet.
+    pub fn earliest(self, last: Micros, in_hand: usize, awaited: usize) -> Micros {
+        if self.heeds_news() && awaited == 0 {
+            return last;
+        }
         last.saturating_add(self.gap(in_hand))
     }
 }
@@ -67,13 +73,19 @@
         let pacing = Pacing::Gather(5000);
         let (mut now, mut waited) = (0, 0);
         for _ in 0..1000 {
-            let start = pacing.earliest(now, 1).max(now);
+            let start = pacing.earliest(now, 1, 1).max(now);
             waited += start - now;
             now = start + 50;
         }
         assert_eq!(waited, 0);
     }
 
+    #[test]
+    fn once_all_that_is_out_has_ended_nobody_waits() {
+        assert_eq!([0, 1, 2].map(|n| Pacing::Gather(4000).earliest(100, 9, n)), [100, 4100, 4100]);
+        assert_eq!([0, 1].map(|n| Pacing::Fixed(5000).earliest(100, 9, n)), [5100; 2]);
+    }
+
     proptest! {
         #[test]
         fn the_wait_never_shrinks_with_more_in_hand_nor_passes_the_most(most in 0u64..50_000, a in 0usize..5000, b in 0usize..5000) {
--- a/crates/ploverport/tests/http2/floods.rs
+++ b/crates/ploverport/tests/http2/floods.rs
@@ -166,3 +166,36 @@
     });
     drop(silent);
 }
+
+/// Connections that were served and wait for their client's next query make room for one that has come: their own time
+/// would be over in a minute only.
+#[test]
+fn idle_connections_make_room() {
+    let rig = crate::rig::rig_with(
+        plover_standins::Plan { work: Duration::ZERO, ..Default::default() },
+        plover_standins::Deployment::default(),
+        "listen-http2 127.0.0.1:0\nhttp2-connections 2\n",
+    );
+    rig.run(async {
+        let mut idle = Vec::new();
+        for n in 0..5 {
+            let client = rig.connect().await;
+            assert_eq!(client.ask(&lookup(&format!("q{n}"), &[n])).await, whole(&[n]));
+            idle.push(client);
+        }
+    });
+}
+
+/// A frame that does not go on ends its connection also while a request is in hand: the server hangs, so that the
+/// request's own end is seconds away.
+#[test]
+fn half_a_frame_beside_an_open_request_is_ended() {
+    let mut rig = rig(Duration::from_secs(60));
+    let mut raw = Raw::settled(rig.program.http2.unwrap());
+    raw.send(&query(1, "open"));
+    rig.run(rig.attempts(1));
+    raw.send(&frame(HEADERS, END_HEADERS, 3, &query_fields("half", &[]))[..20]);
+    let (frames, _) = raw.until_end(ENDED);
+    assert!(!frames.iter().any(|f| f.kind == HEADERS), "its request came to its own end before: {frames:?}");
+    rig.program.logged("event=http2_half_sent").unwrap();
+}
--- a/crates/standins/src/program.rs
+++ b/crates/standins/src/program.rs
@@ -106,6 +106,13 @@
         std::fs::rename(new, self.files.join("ploverport.conf"))
     }
 
+    /// Replaces the platform's configuration, likewise.
+    pub fn replace_configuration(&self, text: &str) -> io::Result<()> {
+        let new = self.files.join("new");
+        std::fs::write(&new, text)?;
+        std::fs::rename(new, self.files.join("config.json"))
+    }
+
     /// Waits for its end.
     pub fn exit(&mut self) -> io::Result<ExitStatus> {
         let until = Instant::now() + BOUND;
