Hand decisions to other proxies over xDS: protocol, director, service, stand-ins

Change: crates/xds keeps, without I/O, what a stream asked for, was sent and is owed, in both variants (versions from content, make before break, refusals, subscriptions, initial versions). crates/xds-resources encodes cells, leases and routes once a version. crates/director brings views, reports, streams and acknowledgements together; a cold server is leased only once every open stream has acknowledged its cell without it. crates/control serves it with tonic; crates/xds-client is a scripted proxy with emulated servers. HTTP/2: connections that asked nothing are closed at once when their seat is needed, those that said nothing first.

--- a/crates/broker/src/front/http1.rs
+++ b/crates/broker/src/front/http1.rs
@@ -3,8 +3,6 @@
 use super::accept::Serve;
 use super::seats::{Rank, Seat, Seats};
 use super::{Shared, Stage};
-use crate::clock::limited;
-use crate::net::{linger, read_some};
 use async_io::{Async, Timer};
 use futures_lite::future::yield_now;
 use futures_lite::{AsyncWriteExt, FutureExt};
@@ -13,6 +11,8 @@
 use plover_http1::{Fault, Limits, Message, Reader, RequestDecoder, Step, encode_response};
 use plover_model::query::Reply;
 use plover_query::{BODY_CAP, HEAD_CAP, Response, Routed, final_answer, refuse_connection};
+use plover_runtime::clock::limited;
+use plover_runtime::net::{linger, read_some};
 use std::io::{self, Write};
 use std::net::{Shutdown, TcpStream};
 use std::rc::Rc;
--- a/crates/broker/src/front/http2/io.rs
+++ b/crates/broker/src/front/http2/io.rs
@@ -1,9 +1,9 @@
 //! The socket of an HTTP/2 connection, as the library wants it, under the eyes of the guard.
 
-use crate::clock::Clock;
 use async_io::Async;
 use futures_lite::{AsyncRead as _, AsyncWrite as _};
 use plover_h2_guard::{Guard, Violation};
+use plover_runtime::clock::Clock;
 use std::cell::RefCell;
 use std::io;
 use std::net::TcpStream;
--- a/crates/broker/src/front/http2/mod.rs
+++ b/crates/broker/src/front/http2/mod.rs
@@ -8,8 +8,6 @@
 use super::accept::Serve;
 use super::seats::{Rank, Seat, Seats, Spare};
 use super::{Shared, Stage};
-use crate::clock::{Clock, limited, span};
-use crate::net::{linger, read_some};
 use async_io::{Async, Timer};
 use bytes::Bytes;
 use futures_lite::{AsyncWriteExt, FutureExt};
@@ -25,6 +23,8 @@
 use plover_model::query::Reply;
 use plover_model::time::{Micros, SECOND};
 use plover_query::{BODY_CAP, final_answer};
+use plover_runtime::clock::{Clock, limited, span};
+use plover_runtime::net::{linger, read_some};
 use std::cell::Cell;
 use std::future::{Future, poll_fn};
 use std::net::TcpStream;
@@ -77,9 +77,10 @@
                 return;
             }
         };
-        self.connection(connection, stream.clone(), ahead).await;
-        // A client that is still sending would see a reset in place of the last words.
-        let _ = linger(&stream).await;
+        if self.connection(connection, stream.clone(), ahead).await == Parting::InOrder {
+            // A client that is still sending would see a reset in place of the last words.
+            let _ = linger(&stream).await;
+        }
     }
 
     /// In HTTP/2 this could be said only after an exchange: the closing says it.
@@ -139,7 +140,7 @@
         linger(stream).await
     }
 
-    async fn connection(&self, number: Connection, stream: Rc<Async<TcpStream>>, ahead: Vec<u8>) {
+    async fn connection(&self, number: Connection, stream: Rc<Async<TcpStream>>, ahead: Vec<u8>) -> Parting {
         let limits = self.limits.get();
         let budget = Budget::new(limits.streams, limits.header_list);
         let watch = Watch::new(Guard::new(self.clock.now(), budget));
@@ -157,7 +158,7 @@
             .reset_stream_duration(RESET_TIME)
             .handshake::<_, Bytes>(io);
         let handshake = async { handshake.await.map_err(std::io::Error::other) };
-        let Ok(h2) = limited(span(SILENCE), handshake).await else { return };
+        let Ok(h2) = limited(span(SILENCE), handshake).await else { return Parting::InOrder };
         let mut life = Life {
             front: self,
             number,
@@ -169,10 +170,19 @@
             served: false,
             phase: Phase::Serving,
         };
-        life.run().await;
+        life.run().await
     }
 }
 
+/// How a connection and its seat part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Parting {
+    /// Its client may read what was said last.
+    InOrder,
+    /// It is closed as it stands: another needs the seat, and its client has asked nothing.
+    AtOnce,
+}
+
 /// Where a connection is in its life.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
@@ -212,7 +222,7 @@
 }
 
 impl Life<'_> {
-    async fn run(&mut self) {
+    async fn run(&mut self) -> Parting {
         loop {
             if self.front.shared.stage() != Stage::Serving {
                 self.leave();
@@ -233,10 +243,13 @@
                     self.end();
                 }
                 Event::Stage => {}
+                // A client that was served is told to go elsewhere, and goes within a round trip. One that was not may
+                // be one of hundreds that take seats and say nothing: waiting for it would give it what it wants.
+                Event::Evicted if !self.served => return Parting::AtOnce,
                 Event::Evicted => self.leave(),
                 Event::Time => {
                     if !self.time_is_up() {
-                        return;
+                        return Parting::InOrder;
                     }
                 }
                 Event::Down(error) => {
@@ -248,7 +261,7 @@
                     } else if let Some(error) = error {
                         debug!(name: "http2_down", connection = self.number, error = %error);
                     }
-                    return;
+                    return Parting::InOrder;
                 }
             }
         }
@@ -331,7 +344,12 @@
         let shared = self.front.shared.clone();
         let stage = shared.stage();
         let idle = self.streams.is_empty() && self.phase == Phase::Serving;
-        let rank = if self.served { Rank::Served } else { Rank::Fresh };
+        let half = self.watch.borrow_mut().guard().half_since().is_some();
+        let rank = match self.served {
+            true => Rank::Served,
+            false if half => Rank::Fresh,
+            false => Rank::Greeted,
+        };
         let spare: Option<Spare<'_>> = idle.then(|| self.front.seats.spare(rank));
         let evicted = async {
             match &spare {
--- a/crates/broker/src/front/http2/stream.rs
+++ b/crates/broker/src/front/http2/stream.rs
@@ -1,6 +1,5 @@
 //! One request: read, handed in, answered.
 
-use crate::clock::{limited, span};
 use crate::front::Shared;
 use async_io::Timer;
 use bytes::Bytes;
@@ -12,6 +11,7 @@
 use plover_admission::Connection;
 use plover_model::query::Reply;
 use plover_query::{BODY_CAP, Routed, final_answer};
+use plover_runtime::clock::{limited, span};
 use std::future::poll_fn;
 use std::io;
 use std::rc::Rc;
--- a/crates/broker/src/front/mod.rs
+++ b/crates/broker/src/front/mod.rs
@@ -11,7 +11,6 @@
 pub use http1::Http1;
 pub use http2::Http2;
 
-use crate::clock::Clock;
 use crate::inbox::Inbox;
 use async_channel::{Receiver, Sender};
 use async_executor::{LocalExecutor, Task};
@@ -21,6 +20,7 @@
 use plover_admission::{Connection, budget};
 use plover_model::query::Names;
 use plover_query::{Response, Routed, date, route};
+use plover_runtime::clock::Clock;
 use std::cell::{Cell, RefCell};
 use std::net::TcpListener;
 use std::rc::Rc;
@@ -187,9 +187,9 @@
 mod tests {
     use super::seats::{Rank, Seats};
     use super::*;
-    use crate::clock::limited;
     use brookbend::settings::{Message, decode};
     use futures_lite::future::yield_now;
+    use plover_runtime::clock::limited;
     use std::net::TcpStream;
 
     /// One that was to make room may get a request in the same moment and stay; accepting waited for its end,
--- a/crates/broker/src/front/seats.rs
+++ b/crates/broker/src/front/seats.rs
@@ -25,6 +25,8 @@
 pub(super) enum Rank {
     /// Nothing that can be used has come.
     Fresh,
+    /// It said all that a connection begins with, and has asked nothing yet.
+    Greeted,
     /// Idle, and served before: its client is a usual one, which can open another.
     Served,
     /// In the middle of its first request: one who is just slow would fail, but half requests must not hold
--- a/crates/broker/src/turns.rs
+++ b/crates/broker/src/turns.rs
@@ -1,7 +1,5 @@
 //! The turn loop: takes what the sockets brought, asks the decisions, and carries them out.
 
-use crate::clock::Clock;
-use crate::discovery::Discovery;
 use crate::front::{Fronts, Plan, Shared};
 use crate::inbox::{Inbox, Input};
 use crate::operator::Operator;
@@ -15,10 +13,12 @@
 use plover_admission::budget::{self, Given, divide};
 use plover_config::{self as config, Config};
 use plover_core::{Core, Decisions, Dispatch, Final, Report, Verdict};
+use plover_discovery::{Discovery, Sink};
 use plover_model::query::{AttemptId, QueryId, Reply};
 use plover_model::server::{ListScope, NodeId, NodeState, Outcome, Targets};
 use plover_model::time::{Micros, millis};
 use plover_pacing::Pacing;
+use plover_runtime::clock::Clock;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::{SocketAddr, TcpListener};
@@ -75,7 +75,8 @@
     let listen = listener.get_ref().local_addr()?;
     let http2 = operator.settings().http2.map(|h| bind(h.listen)).transpose()?;
     let listen_http2 = http2.as_ref().map(|l| l.get_ref().local_addr()).transpose()?;
-    let on_signal = inbox.clone();
+    let (on_signal, on_list) = (inbox.clone(), inbox.clone());
+    let list: Sink = Rc::new(move |targets| on_list.put(Input::Targets(targets)));
     executor
         .spawn(async move {
             while let Some(signal) = signals.next().await {
@@ -101,7 +102,7 @@
         queries: Queries::new(&config.settings, config.max_open),
         core: Core::new(config.settings, config.max_open, config.seed),
         upstream: Upstream::new(executor.clone(), inbox.clone(), config.pool),
-        discovery: Discovery::start(executor.clone(), inbox.clone(), config.discovery, rev),
+        discovery: Discovery::start(executor.clone(), list, config.discovery, Some(rev)),
         inbox,
         fronts: Fronts::start(shared, plan, clock, executor.clone()),
         dispatches: BTreeMap::new(),
--- a/crates/broker/src/upstream/line.rs
+++ b/crates/broker/src/upstream/line.rs
@@ -1,14 +1,14 @@
 //! One connection to a data server: what waits to be written, and the task that writes and reads.
 
-use crate::clock::limited;
 use crate::inbox::{Inbox, Input, LineEvent};
-use crate::net::read_some;
 use async_channel::{Receiver, Sender};
 use async_io::Async;
 use futures_lite::future::yield_now;
 use futures_lite::{AsyncWriteExt, FutureExt};
 use plover_frames::{self as frame, PartLine};
 use plover_model::time::Micros;
+use plover_runtime::clock::limited;
+use plover_runtime::net::read_some;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, VecDeque};
 use std::io;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,8 +7,9 @@
 use brookbend::Aggregator;
 use brookbend::api::{Action, ClassIndex, Event, ListKind, Member, Part, RequestId, Settings, TenantIndex};
 use brookbend::room::no_room_advice;
+use brookbend::view::{Bulk, ServerView};
 use plover_model::query::{AttemptId, PartSpec, QueryId};
-use plover_model::server::{ListScope, NodeId, Outcome, ServerInfo};
+use plover_model::server::{ListScope, NodeId, NodeState, Outcome, ServerInfo};
 use plover_model::time::{MILLI, Micros, millis};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -94,6 +95,40 @@
     pub overdue: usize,
 }
 
+/// A server as the decisions see it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct View {
+    /// Its name.
+    pub name: NodeId,
+    /// Its cell.
+    pub cell: usize,
+    /// Index of its zone.
+    pub zone: Option<usize>,
+    /// Its state in the list.
+    pub state: NodeState,
+    /// Until when it is passed over.
+    pub ejected_until: Option<Micros>,
+    /// When its process started, if it may still be cold; 0 if that was before the clock's origin.
+    pub cold_since: Option<Micros>,
+    /// Time until an answer per work, against the fleet's.
+    pub pace: f64,
+}
+
+/// What others saw at a server over some time.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Seen {
+    /// The server.
+    pub server: NodeId,
+    /// Attempts that were served.
+    pub served: u64,
+    /// Attempts that failed with an answer.
+    pub errors: u64,
+    /// Attempts that ended without one.
+    pub lost: u64,
+    /// Mean time of those that were served; `None`: not told.
+    pub elapsed: Option<Micros>,
+}
+
 struct Open {
     /// Attempts dispatched so far, by part: the module numbers them by their order alone.
     attempts: Vec<u32>,
@@ -228,6 +263,34 @@
         decisions
     }
 
+    /// The servers as the decisions see them, but for those that are gone.
+    pub fn views(&self, now: Micros) -> Vec<View> {
+        let at = |ms: f64| millis(ms);
+        let view = |v: ServerView| View {
+            name: v.node,
+            cell: v.cell,
+            zone: v.zone,
+            state: v.state,
+            ejected_until: v.ejected_until.map(at),
+            cold_since: v.cold_since.map(at),
+            pace: v.pace,
+        };
+        self.aggregator.views(to_ms(now)).into_iter().map(view).collect()
+    }
+
+    /// Takes what others saw at the servers. It counts as attempts of the first class.
+    pub fn report_bulk(&mut self, now: Micros, reports: Vec<Seen>) {
+        let bulk = |s: Seen| Bulk {
+            node: s.server,
+            served: s.served,
+            errors: s.errors,
+            lost: s.lost,
+            elapsed: s.elapsed.map(to_ms),
+        };
+        let reports: Vec<Bulk> = reports.into_iter().map(bulk).collect();
+        self.aggregator.report_bulk(to_ms(now), ClassIndex(0), &reports);
+    }
+
     /// When [`Core::tick`] is due.
     pub fn due(&self) -> Micros {
         let margin = millis(self.settings.tick);
--- /dev/null
+++ b/crates/director/src/lib.rs
@@ -0,0 +1,314 @@
+//! What each connected proxy is to be told now, without I/O or clock.
+//!
+//! The [`Director`] brings together what the decision module holds of the servers, what proxies report of them, which
+//! streams are open and what they acknowledged, and makes of that the resources for each stream. Whoever does the I/O
+//! tells it what happened and calls [`Director::turn`] when [`Director::due`] says so, or soon after something happened:
+//! several changes that come close together make one state.
+//!
+//! Nothing is told before the list of servers is known: an unknown state is not the state of no servers. A list that
+//! names none, after one that named some, is taken for a fault of the list.
+
+mod proxies;
+mod reports;
+
+pub use proxies::{Node, StreamId};
+pub use reports::{ClusterLoad, EndpointLoad};
+
+use plover_core::{Core, Seen};
+use plover_model::server::{ListScope, NodeId, NodeState, ServerInfo};
+use plover_model::time::{Micros, SECOND};
+use plover_steering::assign::{Cell, Instance, cells, is_cold};
+use plover_steering::leases::{Leases, Times};
+use plover_steering::quorum::{Place, Quorum};
+use plover_steering::{View, cold, quorum};
+use plover_xds::{Kind, Snapshot, View as Told};
+use plover_xds_resources::{Builder, Frame};
+use proxies::Proxies;
+use reports::Reports;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Leases are prolonged so often within their time to live.
+const BEATS: Micros = 3;
+/// The decisions' own clocks (ejections that end, servers that grow warm) are looked at so often.
+const LOOK: Micros = SECOND / 4;
+
+/// What a deployment says of itself.
+#[derive(Clone, Debug)]
+pub struct Figures {
+    /// Of the resources.
+    pub frame: Frame,
+    /// The rule for cold servers.
+    pub cold: cold::Rule,
+    /// The rule for servers that proxies report as failing.
+    pub quorum: quorum::Rule,
+    /// Time limits of leases.
+    pub times: Times,
+    /// Which control instance this is.
+    pub instance: Instance,
+}
+
+/// What came of a turn.
+#[derive(Clone, Debug, Default)]
+pub struct Turn {
+    /// What all proxies are told; `None`: nothing is known yet.
+    pub shared: Option<Arc<Snapshot>>,
+    /// What single streams are told beside.
+    pub own: BTreeMap<StreamId, Arc<Snapshot>>,
+    /// Whether any of it differs from the last turn's.
+    pub changed: bool,
+}
+
+impl Turn {
+    /// What one stream is told; `None`: nothing yet.
+    pub fn view(&self, stream: StreamId) -> Option<Told> {
+        let own = self.own.get(&stream).cloned().unwrap_or_default();
+        Some(Told { shared: self.shared.clone()?, own })
+    }
+}
+
+/// See the module's page.
+pub struct Director {
+    core: Core,
+    figures: Figures,
+    builder: Builder,
+    addresses: BTreeMap<NodeId, SocketAddr>,
+    /// A whole list was taken.
+    whole: bool,
+    /// It named servers.
+    known: bool,
+    quorum: Quorum,
+    leases: Leases,
+    proxies: Proxies,
+    reports: Reports,
+    /// The cells as they were told last, with the number of each cell's last change.
+    cells: Vec<Cell>,
+    /// Cold servers, and the change of their cell with which they were last left out of it.
+    cold: BTreeMap<NodeId, u64>,
+    last: Turn,
+    beat: u64,
+    next_beat: Micros,
+    next_look: Micros,
+}
+
+impl Director {
+    /// With no list and no proxy yet.
+    pub fn new(core: Core, figures: Figures) -> Self {
+        Director {
+            core,
+            builder: Builder::new(figures.frame.clone()),
+            addresses: BTreeMap::new(),
+            whole: false,
+            known: false,
+            quorum: Quorum::new(figures.quorum),
+            leases: Leases::new(figures.times),
+            proxies: Proxies::default(),
+            reports: Reports::default(),
+            cells: Vec::new(),
+            cold: BTreeMap::new(),
+            last: Turn::default(),
+            beat: 0,
+            next_beat: 0,
+            next_look: 0,
+            figures,
+        }
+    }
+
+    /// Takes news of the list of servers, with where each listens. False: it was not taken, since it names no server
+    /// where there were some.
+    pub fn learn(
+        &mut self,
+        now: Micros,
+        scope: ListScope,
+        servers: Vec<(ServerInfo, Option<SocketAddr>)>,
+    ) -> bool {
+        let whole = scope != ListScope::Changes;
+        if whole && self.known && servers.iter().all(|(s, _)| s.state == NodeState::Gone) {
+            return false;
+        }
+        if whole {
+            self.addresses.clear();
+        }
+        for (server, address) in &servers {
+            match address.filter(|_| server.state != NodeState::Gone) {
+                Some(address) => _ = self.addresses.insert(server.name.clone(), address),
+                None => _ = self.addresses.remove(&server.name),
+            }
+        }
+        self.whole |= whole;
+        self.known |= self.whole && !self.addresses.is_empty();
+        self.core.learn(scope, servers.into_iter().map(|(s, _)| s).collect());
+        // The module takes the list with its next event: before that, its views are the old ones.
+        let _ = self.core.tick(now);
+        self.next_look = now;
+        true
+    }
+
+    /// A stream was opened.
+    pub fn opened(&mut self, now: Micros, stream: StreamId, node: Node) {
+        self.proxies.opened(now, stream, node);
+        self.next_beat = self.next_beat.min(now);
+    }
+
+    /// A stream has asked for a kind, and may have named what it holds of that. Once it asks for endpoints it counts as
+    /// one that may send.
+    pub fn asked(&mut self, stream: StreamId, kind: Kind, held: &[plover_xds::Item]) {
+        if kind == Kind::Endpoints {
+            self.proxies.sends(stream);
+            self.proxies.acked_endpoints(stream, held);
+        }
+    }
+
+    /// A stream acknowledged these resources of a kind; `settled`: all of the kind that it was told, if nothing of that
+    /// is unanswered.
+    pub fn acked(
+        &mut self,
+        now: Micros,
+        stream: StreamId,
+        kind: Kind,
+        items: &[plover_xds::Item],
+        settled: Option<&[Arc<str>]>,
+    ) {
+        match kind {
+            Kind::Cluster => self.proxies.acked_clusters(now, stream, items, settled, &mut self.leases),
+            Kind::Endpoints => self.proxies.acked_endpoints(stream, items),
+            Kind::Listener | Kind::Route => {}
+        }
+    }
+
+    /// A stream has ended.
+    pub fn ended(&mut self, now: Micros, stream: StreamId) {
+        if let Some(key) = self.proxies.ended(stream) {
+            self.leases.stream_ended(now, &key);
+        }
+    }
+
+    /// Takes a proxy's report of its load since its last one.
+    pub fn report(&mut self, now: Micros, node: &str, clusters: &[ClusterLoad]) {
+        let names: BTreeMap<SocketAddr, &NodeId> = self.addresses.iter().map(|(n, a)| (*a, n)).collect();
+        self.reports.take(now, node, clusters, &names, &mut self.quorum);
+    }
+
+    /// When the next turn is due if nothing happens before.
+    pub fn due(&self) -> Micros {
+        self.next_beat.min(self.next_look)
+    }
+
+    /// Streams that are open.
+    pub fn streams(&self) -> usize {
+        self.proxies.len()
+    }
+
+    /// Units of leases that count at a server, for its page and for tests.
+    pub fn leased(&self, server: &NodeId) -> u32 {
+        self.leases.counted(server)
+    }
+
+    /// Endpoints that were encoded since the start.
+    pub fn encoded(&self) -> u64 {
+        self.builder.encoded()
+    }
+
+    /// Looks at all of it, and says what is to be told.
+    pub fn turn(&mut self, now: Micros) -> Turn {
+        let _ = self.core.tick(now);
+        self.next_look = now + LOOK;
+        self.leases.expire(now);
+        if !self.known {
+            self.next_beat = Micros::MAX;
+            return Turn::default();
+        }
+        let mut views = self.views(now);
+        let places: Vec<Place> =
+            views.iter().map(|v| Place { server: v.name.clone(), cell: v.cell, zone: v.zone }).collect();
+        let out = self.quorum.judge(now, &places, self.proxies.nodes());
+        let failing: BTreeSet<&NodeId> = out.keys().collect();
+        let seen: Vec<Seen> = self.reports.drain(&failing);
+        if !seen.is_empty() {
+            self.core.report_bulk(now, seen);
+            views = self.views(now);
+        }
+        let cells = cells(now, &views, &out, &self.figures.cold);
+        let shared = self.builder.shared(&cells);
+        let changed_cells = self.last.shared.as_ref().is_none_or(|last| !Arc::ptr_eq(last, &shared));
+        if changed_cells {
+            self.proxies.told(shared.kind(Kind::Endpoints));
+        }
+        let news = self.note_cold(now, &views);
+        let deal = now >= self.next_beat || news;
+        if deal {
+            self.deal(now, &views);
+        }
+        if !changed_cells && !deal {
+            return Turn { changed: false, ..self.last.clone() };
+        }
+        self.cells = cells;
+        let own = self
+            .proxies
+            .dealt()
+            .map(|(stream, dealt, beat)| (stream, Arc::new(self.builder.own(&self.cells, dealt, beat))));
+        let own: BTreeMap<StreamId, Arc<Snapshot>> = own.collect();
+        let changed = changed_cells || own != self.last.own;
+        self.last = Turn { shared: Some(shared), own, changed };
+        self.last.clone()
+    }
+
+    fn views(&self, now: Micros) -> Vec<View> {
+        let view = |v: plover_core::View| {
+            let endpoint = *self.addresses.get(&v.name)?;
+            Some(View {
+                name: v.name,
+                endpoint,
+                cell: v.cell,
+                zone: v.zone,
+                state: v.state,
+                ejected_until: v.ejected_until,
+                cold_since: v.cold_since,
+                pace: v.pace,
+            })
+        };
+        self.core.views(now).into_iter().filter_map(view).collect()
+    }
+
+    /// Notes which servers are cold, and with which change of its cell's endpoints each was left out. True: the set
+    /// differs from before.
+    fn note_cold(&mut self, now: Micros, views: &[View]) -> bool {
+        let rule = &self.figures.cold;
+        let cold = views.iter().filter(|v| v.state == NodeState::Serving && is_cold(v, now, rule));
+        let mut noted = BTreeMap::new();
+        for view in cold {
+            let since = self.cold.get(&view.name).copied();
+            noted.insert(view.name.clone(), since.unwrap_or_else(|| self.proxies.change_of(view.cell)));
+        }
+        let news = !noted.keys().eq(self.cold.keys());
+        self.cold = noted;
+        news
+    }
+
+    /// Deals the cold servers out. One that some proxy may still take for warm is dealt to nobody: what that proxy sends
+    /// there has no limit, so that nothing may come on top of it.
+    fn deal(&mut self, now: Micros, views: &[View]) {
+        self.next_beat = now + (self.figures.times.time_to_live / BEATS).max(1);
+        if self.cold.is_empty() {
+            self.next_beat = Micros::MAX;
+        }
+        let heard = |v: &&View| match self.cold.get(&v.name) {
+            Some(change) => self.proxies.all_heard(now, v.cell, *change),
+            None => true,
+        };
+        let views: Vec<View> = views.iter().filter(heard).cloned().collect();
+        let holders = self.proxies.that_may_lease();
+        let dealt = plover_steering::assign::deal(
+            now,
+            &views,
+            &holders,
+            |proxy, cell| self.reports.traffic(now, self.proxies.node_of(proxy)?, cell),
+            &self.figures.cold,
+            &mut self.leases,
+            self.figures.instance,
+        );
+        self.beat += 1;
+        self.proxies.deal(dealt, self.beat);
+    }
+}
--- a/crates/broker/src/discovery.rs
+++ b/crates/discovery/src/lib.rs
@@ -1,14 +1,13 @@
-//! The list of data servers: begins with what the configuration knows, then watches discovery.
+//! Watches the list of data servers, from the version on that is known at the start.
 
-use crate::clock::limited;
-use crate::inbox::{Inbox, Input};
-use crate::net::read_some;
 use async_executor::{LocalExecutor, Task};
 use async_io::{Async, Timer};
 use futures_lite::AsyncWriteExt;
 use http::Response;
 use plover_http1::{Limits, Message, ResponseDecoder, Step};
 use plover_model::server::Targets;
+use plover_runtime::clock::limited;
+use plover_runtime::net::read_some;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
@@ -24,38 +23,41 @@
 /// First and longest wait after a failure. The first is well under the 200 ms that a watch may pause.
 const BACK_OFF: (Duration, Duration) = (Duration::from_millis(20), Duration::from_secs(1));
 
+/// Where news of the list goes.
+pub type Sink = Rc<dyn Fn(Targets)>;
+
 /// The one watch of the list, and so the owner of its connection.
 pub struct Discovery {
     executor: Rc<LocalExecutor<'static>>,
-    inbox: Rc<Inbox>,
+    sink: Sink,
     /// Dropping it ends the watch and closes its connection.
     _watch: Task<()>,
 }
 
 impl Discovery {
-    /// Watches at this address, from this version on.
+    /// Watches at this address, from this version on; `None`: from the whole list on.
     pub fn start(
         executor: Rc<LocalExecutor<'static>>,
-        inbox: Rc<Inbox>,
+        sink: Sink,
         address: SocketAddr,
-        rev: u64,
+        rev: Option<u64>,
     ) -> Self {
-        let _watch = executor.spawn(watch(address, Some(rev), inbox.clone()));
-        Discovery { executor, inbox, _watch }
+        let _watch = executor.spawn(watch(address, rev, sink.clone()));
+        Discovery { executor, sink, _watch }
     }
 
     /// Watches at another address. Its versions need not be those of the last one, and what changed meanwhile
     /// is known to nobody: it is asked for the whole list first.
     pub fn move_to(&mut self, address: SocketAddr) {
-        self._watch = self.executor.spawn(watch(address, None, self.inbox.clone()));
+        self._watch = self.executor.spawn(watch(address, None, self.sink.clone()));
     }
 }
 
 /// Watches for ever. A list that cannot be had or read leaves the last one in force.
-async fn watch(discovery: SocketAddr, mut rev: Option<u64>, inbox: Rc<Inbox>) {
+async fn watch(discovery: SocketAddr, mut rev: Option<u64>, sink: Sink) {
     let mut back_off = BACK_OFF.0;
     loop {
-        let error = match session(discovery, &mut rev, &mut back_off, &inbox).await {
+        let error = match session(discovery, &mut rev, &mut back_off, &sink).await {
             Ok(()) => continue, // closed between two answers, as a server may
             Err(error) => error,
         };
@@ -70,7 +72,7 @@
     discovery: SocketAddr,
     rev: &mut Option<u64>,
     back_off: &mut Duration,
-    inbox: &Inbox,
+    sink: &Sink,
 ) -> io::Result<()> {
     let mut stream = limited(GRACE, Async::<TcpStream>::connect(discovery)).await?;
     stream.get_ref().set_nodelay(true)?;
@@ -94,7 +96,7 @@
         *rev = Some(targets.rev);
         *back_off = BACK_OFF.0;
         if targets.all || !targets.targets.is_empty() {
-            inbox.put(Input::Targets(targets));
+            sink(targets);
         } else if called.elapsed() < WAIT / 2 {
             // An empty answer before its time: asked again at once, such a server would cost the whole core.
             Timer::after(BACK_OFF.0).await;
--- a/crates/operator-file/src/keywords.rs
+++ b/crates/operator-file/src/keywords.rs
@@ -37,6 +37,7 @@
 }
 
 const HTTP2: Option<&str> = Some("listen-http2");
+const CONTROL: Option<&str> = Some("control-listen");
 
 /// All keywords; each stands on one line of a file at most, with one argument.
 pub const KEYWORDS: &[Keyword] = &[
@@ -84,6 +85,50 @@
         Effect::NewConnections,
         HTTP2,
     ),
+    keyword(
+        "control-listen",
+        "an address with a port",
+        "where proxies connect to the control service",
+        Effect::Restart,
+        None,
+    ),
+    keyword(
+        "control-name",
+        "1 to 64 letters, digits, dots or dashes",
+        "name of the listener and routes that proxies are told",
+        Effect::Restart,
+        CONTROL,
+    ),
+    keyword(
+        "control-instances",
+        "1 to 1024",
+        "control instances that run side by side",
+        Effect::Restart,
+        CONTROL,
+    ),
+    keyword("control-instance", "0 to 1023", "which of them this is", Effect::Restart, CONTROL),
+    keyword("control-streams", "1 to 65536", "most streams of proxies", Effect::Restart, CONTROL),
+    keyword(
+        "control-server-cores",
+        "1 to 1024",
+        "cores of the smallest data server",
+        Effect::Restart,
+        CONTROL,
+    ),
+    keyword(
+        "control-request-work",
+        "a time, 1ms to 10s",
+        "work of a request of the largest class",
+        Effect::Restart,
+        CONTROL,
+    ),
+    keyword(
+        "control-time-to-live",
+        "a time, 1s to 60s",
+        "a proxy without word forgets cold servers after it",
+        Effect::Restart,
+        CONTROL,
+    ),
 ];
 
 /// The keyword of this name.
--- a/crates/operator-file/src/settings.rs
+++ b/crates/operator-file/src/settings.rs
@@ -4,7 +4,7 @@
 use crate::grammar::{Line, Word, lines};
 use crate::keywords::{self, Effect, KEYWORDS};
 use crate::{LONGEST, values};
-use plover_model::time::{MILLI, Micros};
+use plover_model::time::{MILLI, Micros, SECOND};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -54,6 +54,27 @@
     pub header_list: Option<u32>,
 }
 
+/// The control service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Control {
+    /// Where proxies connect.
+    pub listen: SocketAddr,
+    /// Name of the listener and routes that they are told.
+    pub name: String,
+    /// Instances that run side by side.
+    pub instances: u32,
+    /// Which of them this is, from 0.
+    pub instance: u32,
+    /// Most streams.
+    pub streams: usize,
+    /// Cores of the smallest data server.
+    pub cores: u32,
+    /// Work of a request of the largest class.
+    pub request_work: Micros,
+    /// A proxy without word forgets cold servers after it.
+    pub time_to_live: Micros,
+}
+
 /// What a file sets; the default is what holds without one.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Settings {
@@ -61,6 +82,8 @@
     pub log: Log,
     /// The HTTP/2 front, if it is to be there.
     pub http2: Option<Http2>,
+    /// The control service, if this file is for one.
+    pub control: Option<Control>,
     /// Longest wait for parts that could share a call; `None`: a tick of the settings.
     pub gather: Option<Micros>,
     /// The arguments as they stand in the file, by keyword.
@@ -104,7 +127,8 @@
                 None => given.remove(k.name),
             };
         }
-        Settings { http2, given, ..new.clone() }
+        // The control service reads its file at its start alone.
+        Settings { http2, given, control: self.control.clone(), ..new.clone() }
     }
 }
 
@@ -208,6 +232,7 @@
         let connection_window =
             self.value("http2-connection-window", |w| values::size(w, &(64 << 10..=64 << 20)));
         let header_list = self.value("http2-header-list", |w| values::size(w, &(1 << 10..=64 << 10)));
+        let control = self.control();
         self.contradictions();
         let http2 = listen.map(|listen| Http2 {
             listen,
@@ -217,7 +242,34 @@
             header_list: header_list.map(|n| n as u32),
         });
         let given = self.taken.iter().map(|(name, (_, argument))| (*name, argument.text.clone())).collect();
-        Settings { log, http2, gather, given }
+        Settings { log, http2, control, gather, given }
+    }
+
+    fn control(&mut self) -> Option<Control> {
+        let listen = self.value("control-listen", values::address);
+        let name = self.value("control-name", values::name);
+        let instances =
+            self.value("control-instances", |w| values::whole(w, &(1..=1024))).unwrap_or(1) as u32;
+        let instance = self.value("control-instance", |w| values::whole(w, &(0..=1023))).unwrap_or(0) as u32;
+        let streams = self.value("control-streams", |w| values::whole(w, &(1..=65_536)));
+        let cores = self.value("control-server-cores", |w| values::whole(w, &(1..=1024)));
+        let work = self.value("control-request-work", |w| values::span(w, &(MILLI..=10 * SECOND)));
+        let time_to_live = self.value("control-time-to-live", |w| values::span(w, &(SECOND..=60 * SECOND)));
+        if let Some((_, word)) = self.taken.get("control-instance").cloned().filter(|_| instance >= instances)
+        {
+            let what = format!("there is no instance {instance}: they are counted from 0");
+            self.fault(&word, what, format!("expected less than control-instances, {instances}"));
+        }
+        Some(Control {
+            listen: listen?,
+            name: name.unwrap_or_else(|| "ploverport".to_owned()),
+            instances,
+            instance,
+            streams: streams.unwrap_or(4096) as usize,
+            cores: cores.unwrap_or(2) as u32,
+            request_work: work.unwrap_or(126 * MILLI),
+            time_to_live: time_to_live.unwrap_or(2 * SECOND),
+        })
     }
 
     /// What is right by itself and wrong beside the rest.
--- a/crates/operator-file/src/values.rs
+++ b/crates/operator-file/src/values.rs
@@ -15,6 +15,13 @@
         .ok_or_else(|| format!("expected a whole number from {} to {}", within.start(), within.end()))
 }
 
+/// A name that may stand in a log and in a resource's name.
+pub(crate) fn name(word: &str) -> Result<String, String> {
+    let fits = |b: u8| b.is_ascii_alphanumeric() || b == b'.' || b == b'-';
+    let good = (1..=64).contains(&word.len()) && word.bytes().all(fits);
+    good.then(|| word.to_owned()).ok_or_else(|| "expected 1 to 64 letters, digits, dots or dashes".to_owned())
+}
+
 /// A size with its unit, in bytes.
 pub(crate) fn size(word: &str, within: &RangeInclusive<u64>) -> Result<u64, String> {
     let units = [("KiB", 1 << 10), ("MiB", 1 << 20), ("B", 1)];
--- a/crates/operator-file/tests/files.rs
+++ b/crates/operator-file/tests/files.rs
@@ -13,6 +13,14 @@
 http2-streams 200
 http2-connection-window 1MiB
 http2-header-list 16KiB
+control-listen 127.0.0.1:18000
+control-name data.example
+control-instances 3
+control-instance 2
+control-streams 3000
+control-server-cores 4
+control-request-work 90ms
+control-time-to-live 3s
 ";
 
 fn faults(text: &str) -> Vec<String> {
@@ -27,6 +35,16 @@
     let http2 = settings.http2.unwrap();
     assert_eq!((http2.listen.port(), http2.connections, http2.streams), (8081, Some(64), Some(200)));
     assert_eq!((http2.connection_window, http2.header_list), (Some(1 << 20), Some(16 << 10)));
+    let control = settings.control.unwrap();
+    assert_eq!(
+        (control.listen.port(), control.name.as_str(), control.streams),
+        (18000, "data.example", 3000)
+    );
+    assert_eq!((control.instances, control.instance, control.cores), (3, 2, 4));
+    assert_eq!((control.request_work, control.time_to_live), (90_000, 3_000_000));
+    let three = faults("control-listen [::1]:1\ncontrol-instances 3\ncontrol-instance 3\ncontrol-name a/b\n");
+    assert_eq!(three.len(), 2, "{three:?}");
+    assert!(three[0].contains("control-instances, 3") && three[1].contains("letters"), "{three:?}");
     assert!(KEYWORDS.iter().all(|k| FULL.contains(k.name)), "a keyword is not tested");
     assert_eq!(read("f", "").unwrap(), Settings::default());
 }
--- a/crates/ploverport/src/cli.rs
+++ b/crates/ploverport/src/cli.rs
@@ -1,6 +1,6 @@
 //! The command line.
 
-use clap::{Args, Parser, Subcommand};
+use clap::{Args, Parser, Subcommand, ValueEnum};
 use clap_complete::Shell;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -27,6 +27,15 @@
     Demo(DemoArguments),
     /// Measure both fronts side by side, against stand-ins on this machine
     Bench(BenchArguments),
+    /// Hand decisions on to other proxies, over xDS
+    Control(ControlArguments),
+    /// Look at what a control service tells its proxies
+    Xds {
+        #[command(subcommand)]
+        command: XdsCommand,
+    },
+    /// Measure a control service: how soon proxies hear of a change, and what that costs
+    BenchControl(BenchControlArguments),
     /// Print completions for a shell
     Completions {
         /// The shell
@@ -41,6 +50,69 @@
     pub(crate) config: Option<PathBuf>,
 }
 
+#[derive(Args, Debug)]
+pub(crate) struct ControlArguments {
+    /// The operator's own file, which says where proxies connect (control-listen)
+    #[arg(long, value_name = "FILE", required_unless_present = "demo")]
+    pub(crate) config: Option<PathBuf>,
+    /// With stand-in data servers on this machine, until Ctrl-C; where proxies connect
+    #[arg(long, value_name = "ADDR", num_args = 0..=1, default_missing_value = "127.0.0.1:18000", conflicts_with = "config")]
+    pub(crate) demo: Option<SocketAddr>,
+}
+
+#[derive(Debug, Subcommand)]
+pub(crate) enum XdsCommand {
+    /// Print what a proxy would be told now
+    Dump(DumpArguments),
+}
+
+/// In whose manner to ask.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub(crate) enum Manner {
+    /// All clusters, their endpoints, and routes by name
+    Envoy,
+    /// A listener by name, and what that leads to
+    Grpc,
+}
+
+#[derive(Args, Debug)]
+pub(crate) struct DumpArguments {
+    /// Where the control service listens
+    #[arg(value_name = "ADDR")]
+    pub(crate) address: SocketAddr,
+    /// Ask in this manner
+    #[arg(long = "as", value_name = "MANNER", value_enum, default_value_t = Manner::Envoy)]
+    pub(crate) manner: Manner,
+    /// In the state-of-the-world variant, not the incremental one
+    #[arg(long)]
+    pub(crate) sotw: bool,
+    /// Name of the node to appear as
+    #[arg(long, value_name = "ID", default_value = "xds-dump")]
+    pub(crate) node: String,
+    /// Name of the listener and routes (control-name)
+    #[arg(long, value_name = "NAME", default_value = "ploverport")]
+    pub(crate) name: String,
+    /// Print it as JSON
+    #[arg(long)]
+    pub(crate) json: bool,
+}
+
+#[derive(Args, Debug)]
+pub(crate) struct BenchControlArguments {
+    /// Numbers of proxies
+    #[arg(long, value_name = "N,...", value_delimiter = ',', default_values_t = [10usize, 100, 1000])]
+    pub(crate) proxies: Vec<usize>,
+    /// Numbers of endpoints, all in one cluster
+    #[arg(long, value_name = "N,...", value_delimiter = ',', default_values_t = [100u32, 1000, 5000])]
+    pub(crate) endpoints: Vec<u32>,
+    /// Changes of the list in each measurement
+    #[arg(long, value_name = "N", default_value_t = 10)]
+    pub(crate) changes: usize,
+    /// Print the figures as JSON
+    #[arg(long)]
+    pub(crate) json: bool,
+}
+
 #[derive(Args, Debug)]
 pub(crate) struct CheckArguments {
     /// The file
--- /dev/null
+++ b/crates/ploverport/tests/control/main.rs
@@ -0,0 +1,6 @@
+//! The control service as a process of its own, with stand-in proxies that behave well or badly.
+
+mod chaos;
+mod reports;
+mod rig;
+mod streams;
--- a/crates/ploverport/tests/http2/floods.rs
+++ b/crates/ploverport/tests/http2/floods.rs
@@ -2,8 +2,8 @@
 
 use crate::rig::{Rig, lookup, rig, whole};
 use plover_load::raw::{
-    BODY, CONTINUATION, DATA, END_HEADERS, GOAWAY, HEADERS, PING, RST_STREAM, Raw, SETTINGS, WINDOW_UPDATE,
-    fields, frame, query, query_fields,
+    BODY, CONTINUATION, DATA, END_HEADERS, GOAWAY, HEADERS, PING, PREFACE, RST_STREAM, Raw, SETTINGS,
+    WINDOW_UPDATE, fields, frame, query, query_fields,
 };
 use std::time::{Duration, Instant};
 
@@ -158,13 +158,30 @@
         "listen-http2 127.0.0.1:0\nhttp2-connections 4\n",
     );
     let to = rig.program.http2.unwrap();
-    let silent: Vec<Raw> = (0..12).map(|_| Raw::connect(to)).collect();
-    rig.run(async {
-        for n in 0..8 {
-            assert_eq!(rig.connect().await.ask(&lookup(&format!("q{n}"), &[n])).await, whole(&[n]));
-        }
-    });
-    drop(silent);
+    let half = [
+        PREFACE,
+        &frame(SETTINGS, 0, 0, &[]),
+        &frame(HEADERS, END_HEADERS, 1, &query_fields("h", &[]))[..20],
+    ];
+    let half = half.concat();
+    for words in [&[][..], &half] {
+        let silent = (0..12).map(|_| {
+            let mut raw = Raw::connect(to);
+            raw.try_send(words);
+            raw
+        });
+        let silent: Vec<Raw> = silent.collect();
+        rig.run(async {
+            // A client that is in the middle of its work is not the one to make room.
+            let usual = rig.connect().await;
+            for n in 0..8 {
+                assert_eq!(usual.ask(&lookup(&format!("u{n}-{}", words.len()), &[n])).await, whole(&[n]));
+                let new = rig.connect().await;
+                assert_eq!(new.ask(&lookup(&format!("q{n}-{}", words.len()), &[n])).await, whole(&[n]));
+            }
+        });
+        drop(silent);
+    }
 }
 
 /// Connections that were served and wait for their client's next query make room for one that has come: their own time
--- /dev/null
+++ b/crates/runtime/src/lib.rs
@@ -0,0 +1,4 @@
+//! What all I/O shares: the program's clock and time limits, and reading from sockets.
+
+pub mod clock;
+pub mod net;
--- a/crates/standins/src/deployment.rs
+++ b/crates/standins/src/deployment.rs
@@ -2,6 +2,7 @@
 
 use crate::Fleet;
 use serde_json::{Value, json};
+use std::net::SocketAddr;
 
 /// Figures of a deployment that differ from rig to rig.
 #[derive(Clone, Copy, Debug)]
@@ -62,8 +63,13 @@
 
     /// The whole configuration of a broker that listens there.
     pub fn configuration(&self, fleet: &Fleet, listen: &str) -> Value {
-        json!({"name": "stand-in", "listen": listen, "discovery": fleet.discovery.to_string(),
+        self.around(fleet.discovery, fleet.known(), listen)
+    }
+
+    /// The same round a discovery, with a list that is known at the start.
+    pub fn around(&self, discovery: SocketAddr, known: &Value, listen: &str) -> Value {
+        json!({"name": "stand-in", "listen": listen, "discovery": discovery.to_string(),
             "seed": "8c1f30d27a5be964", "limits": {"sockets": self.sockets, "memory_mb": self.memory_mb},
-            "known": fleet.known(), "settings": self.settings()})
+            "known": known, "settings": self.settings()})
     }
 }
--- a/crates/standins/src/discovery.rs
+++ b/crates/standins/src/discovery.rs
@@ -41,11 +41,18 @@
 
     /// Changes an entry, and tells those who watch.
     pub(crate) fn set(&self, entry: Value) {
+        self.set_all(vec![entry]);
+    }
+
+    /// Changes entries, all in one version.
+    pub(crate) fn set_all(&self, entries: Vec<Value>) {
         let mut state = self.state.borrow_mut();
         state.rev += 1;
-        let name = entry["uid"].as_str().unwrap_or_default().to_owned();
         let rev = state.rev;
-        state.entries.insert(name, (rev, entry));
+        for entry in entries {
+            let name = entry["uid"].as_str().unwrap_or_default().to_owned();
+            state.entries.insert(name, (rev, entry));
+        }
         state.changed = async_channel::bounded(1);
     }
 
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,11 +8,13 @@
 mod deployment;
 mod discovery;
 mod fleet;
+mod list;
 mod program;
 mod server;
 
 pub use deployment::Deployment;
 pub use fleet::{Fleet, Plan, ServerHandle};
+pub use list::{Entry, List};
 pub use program::Program;
 pub use server::Fault;
 
--- a/crates/standins/src/program.rs
+++ b/crates/standins/src/program.rs
@@ -1,6 +1,7 @@
 //! A broker as a process of its own, beside a fleet.
 
 use crate::{Deployment, Fleet};
+use serde_json::Value;
 use std::collections::VecDeque;
 use std::io::{self, BufRead, BufReader};
 use std::net::SocketAddr;
@@ -28,17 +29,32 @@
 impl Program {
     /// Starts a broker from its executable, with an operator's file of this text, and waits until it listens.
     pub fn start(exe: &Path, deployment: Deployment, fleet: &Fleet, operator: &str) -> io::Result<Program> {
+        let configuration = deployment.configuration(fleet, "127.0.0.1:0");
+        let mut program = Program::spawn(exe, &["serve"], &configuration, operator)?;
+        program.http1 = program.address("event=started ")?;
+        if operator.contains("listen-http2") {
+            program.http2 = Some(program.address("event=started_http2 ")?);
+        }
+        Ok(program)
+    }
+
+    /// Starts a control service, likewise; where it listens is told.
+    pub fn control(exe: &Path, configuration: &Value, operator: &str) -> io::Result<(Program, SocketAddr)> {
+        let mut program = Program::spawn(exe, &["control"], configuration, operator)?;
+        let listen = program.address("event=started_control ")?;
+        Ok((program, listen))
+    }
+
+    fn spawn(exe: &Path, command: &[&str], configuration: &Value, operator: &str) -> io::Result<Program> {
         static NEXT: AtomicU64 = AtomicU64::new(0);
         let number = NEXT.fetch_add(1, Ordering::Relaxed);
         let files = std::env::temp_dir().join(format!("ploverport-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&files)?;
-        std::fs::write(
-            files.join("config.json"),
-            deployment.configuration(fleet, "127.0.0.1:0").to_string(),
-        )?;
+        std::fs::write(files.join("config.json"), configuration.to_string())?;
         std::fs::write(files.join("ploverport.conf"), operator)?;
         let mut child = Command::new(exe)
-            .args(["serve", "--config"])
+            .args(command)
+            .arg("--config")
             .arg(files.join("ploverport.conf"))
             .env("RELAY_CONFIG", files.join("config.json"))
             .env_remove("RELAY_LISTEN")
@@ -57,12 +73,7 @@
             });
         }
         let nowhere = SocketAddr::from(([0, 0, 0, 0], 0));
-        let mut program = Program { child, log, seen: VecDeque::new(), files, http1: nowhere, http2: None };
-        program.http1 = program.address("event=started ")?;
-        if operator.contains("listen-http2") {
-            program.http2 = Some(program.address("event=started_http2 ")?);
-        }
-        Ok(program)
+        Ok(Program { child, log, seen: VecDeque::new(), files, http1: nowhere, http2: None })
     }
 
     fn address(&mut self, event: &str) -> io::Result<SocketAddr> {
--- a/crates/steering/src/assign.rs
+++ b/crates/steering/src/assign.rs
@@ -67,6 +67,36 @@
     pub address: SocketAddr,
     /// The most requests that this proxy may have out there.
     pub most_out: u32,
+    /// Of [`SHARES`] requests to the cell, so many are to go there.
+    pub share: u32,
+}
+
+/// Shares are counted of so many.
+pub const SHARES: u32 = 10_000;
+/// Of the requests that may be out at a cold server, so many are aimed at: what finds no place is turned away.
+const AIM: f64 = 0.5;
+/// Of a cold server's due, so much is sent by a proxy whose traffic is not known yet.
+const UNKNOWN: f64 = 0.5;
+
+/// What a proxy reported of its traffic to a cell.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Traffic {
+    /// Requests a second.
+    pub rate: f64,
+    /// Requests out, on average.
+    pub out: f64,
+}
+
+/// The share of a proxy's requests to a cell that goes to a cold server: its due beside the warm ones, as far as the
+/// places that the proxy has there are enough for it. `due` is the server's part of the cell's capacity.
+fn cold_share(due: f64, most_out: u32, traffic: Option<Traffic>) -> u32 {
+    let share = match traffic {
+        // At the same time each, a share of the requests is the same share of what is out; a cold server takes longer,
+        // by the inverse of what it can do, which is what the due was made less for.
+        Some(t) if t.out > 0.0 => due.min(AIM * f64::from(most_out) / t.out),
+        _ => due * UNKNOWN,
+    };
+    (share.clamp(0.0, 0.5) * f64::from(SHARES)) as u32
 }
 
 /// Whether a server of this view is cold at this moment.
@@ -132,6 +162,7 @@
     now: Micros,
     views: &[View],
     proxies: &[Proxy],
+    traffic: impl Fn(&Proxy, usize) -> Option<Traffic>,
     rule: &Rule,
     leases: &mut Leases,
     instance: Instance,
@@ -145,14 +176,23 @@
         let turns = (0..proxies.len()).map(|n| &proxies[(n + turn % proxies.len().max(1)) % proxies.len()]);
         let (holders, others): (Vec<&Proxy>, Vec<&Proxy>) =
             turns.partition(|p| leases.held(&view.name, p) > 0);
+        let mut granted = Vec::new();
         for proxy in holders.into_iter().chain(others) {
             let most_out = leases.grant(now, &view.name, proxy, wanted, most);
             if most_out > 0 {
-                let cold =
-                    Cold { name: view.name.clone(), cell: view.cell, address: view.endpoint, most_out };
-                dealt.entry(proxy.clone()).or_default().push(cold);
+                granted.push((proxy, most_out));
             }
         }
+        let warm = views.iter().filter(|v| v.cell == view.cell && v.state == NodeState::Serving);
+        let warm = warm.filter(|v| !is_cold(v, now, rule)).count() as f64;
+        let own = rule.share(age);
+        // What the others do not send there falls to those that may.
+        let due = own / (warm + own) * proxies.len() as f64 / granted.len().max(1) as f64;
+        for (proxy, most_out) in granted {
+            let share = cold_share(due, most_out, traffic(proxy, view.cell));
+            let (name, cell, address) = (view.name.clone(), view.cell, view.endpoint);
+            dealt.entry(proxy.clone()).or_default().push(Cold { name, cell, address, most_out, share });
+        }
     }
     dealt
 }
@@ -223,15 +263,24 @@
         let mut leases = Leases::new(TIMES);
         let one = Instance { number: 0, of: 1 };
         assert_eq!(health(&cells(0, &views, &BTreeMap::new(), &RULE), 0), [(1, Health::Healthy)]);
-        let dealt = deal(0, &views, &proxies, &RULE, &mut leases, one);
+        let dealt = deal(0, &views, &proxies, |_, _| None, &RULE, &mut leases, one);
         assert_eq!(dealt.values().flatten().map(|c| c.most_out).sum::<u32>(), RULE.most_out(0));
-        let later = deal(SECOND, &views, &proxies, &RULE, &mut leases, one);
+        let later = deal(SECOND, &views, &proxies, |_, _| None, &RULE, &mut leases, one);
         assert!(dealt.keys().all(|p| later.contains_key(p)), "holders keep their leases");
         let warm = 16 * SECOND;
-        assert!(deal(warm, &views, &proxies, &RULE, &mut leases, one).is_empty());
+        assert!(deal(warm, &views, &proxies, |_, _| None, &RULE, &mut leases, one).is_empty());
         assert_eq!(health(&cells(warm, &views, &BTreeMap::new(), &RULE), 0).len(), 2);
     }
 
+    #[test]
+    fn a_cold_servers_share_follows_its_due_and_the_places_there() {
+        let of = |out| Some(Traffic { rate: 100.0, out });
+        assert_eq!(cold_share(0.2, 4, of(1.0)), 2000, "its due");
+        assert_eq!(cold_share(0.2, 4, of(100.0)), 200, "half of its places");
+        assert_eq!(cold_share(0.2, 4, None), 1000);
+        assert_eq!((cold_share(f64::NAN, 4, of(1.0)), cold_share(9.0, 9, of(1.0))), (5000, 5000));
+    }
+
     proptest! {
         /// However many proxies and instances, together they never have more out than the server may have.
         #[test]
@@ -247,7 +296,7 @@
                 for (i, leases) in all.iter_mut().enumerate() {
                     let own: Vec<Proxy> = (0..proxies).map(|n| format!("i{i}p{n}").into()).collect();
                     let instance = Instance { number: i as u32, of: instances };
-                    deal(now, std::slice::from_ref(&cold), &own, &RULE, leases, instance);
+                    deal(now, std::slice::from_ref(&cold), &own, |_, _| None, &RULE, leases, instance);
                 }
                 let out: u32 = all.iter().map(|l| l.counted(&cold.name)).sum();
                 prop_assert!(out <= RULE.most_out(now));
--- a/crates/steering/src/leases.rs
+++ b/crates/steering/src/leases.rs
@@ -122,6 +122,12 @@
         lease.filter(|l| !matches!(l.stage, Stage::Ending(_))).map_or(0, |l| l.units)
     }
 
+    /// The servers at which this proxy has a lease that it may act on.
+    pub fn of(&self, proxy: &Proxy) -> Vec<NodeId> {
+        let held = self.by_server.keys().filter(|server| self.held(server, proxy) > 0);
+        held.cloned().collect()
+    }
+
     /// Units that count at this server.
     pub fn counted(&self, server: &NodeId) -> u32 {
         self.by_server.get(server).map_or(0, |leases| leases.values().map(|l| l.units).sum())
