Let control instances lend, hold back after a start, and keep what routes point at

Change: steering::loans (pure): a borrower counts from when it asked, the lender from when it answered plus the longest echo of a lease, so no clocks are compared; control-peers asks twice a second over the same port. No lease goes out for the longest pause, time to live and request after a start (control-longest-pause). What points at clusters counts from every response that is out; refused removals are told again. Responses are written from the shared bytes into the stream's buffer.

--- a/crates/control/src/ads.rs
+++ b/crates/control/src/ads.rs
@@ -1,15 +1,15 @@
 //! The aggregated discovery service (`envoy/service/discovery/v3/ads.proto`), in both variants.
 
-use crate::codec::Wire;
+use crate::codec::{Out, Wire};
 use crate::hub::{Event, Hub};
 use crate::lrs::Lrs;
-use bytes::Bytes;
+use crate::peers::{self, Exchange};
 use envoy_types::pb::envoy::config::core::v3::Node as NodeMessage;
 use envoy_types::pb::envoy::service::discovery::v3::{DeltaDiscoveryRequest, DiscoveryRequest};
 use envoy_types::pb::envoy::service::load_stats::v3::load_reporting_service_server::LoadReportingServiceServer;
 use futures_util::future::BoxFuture;
 use plover_director::{Node, StreamId};
-use plover_xds::{Heard, Kind, Request, Stream, Variant, View, wire};
+use plover_xds::{Heard, Kind, Request, Stream, Variant, View};
 use std::convert::Infallible;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
@@ -20,6 +20,7 @@
 use tonic::codegen::{Body as HttpBody, StdError};
 use tonic::server::{Grpc, StreamingService};
 use tonic::{Response, Status, Streaming};
+use tonic_prost::ProstCodec;
 use tracing::{debug, info, warn};
 
 const STATE_OF_THE_WORLD: &str =
@@ -88,8 +89,8 @@
 struct Method(Ads);
 
 impl<T: Asking> StreamingService<T> for Method {
-    type Response = Bytes;
-    type ResponseStream = ReceiverStream<Result<Bytes, Status>>;
+    type Response = Out;
+    type ResponseStream = ReceiverStream<Result<Out, Status>>;
     type Future = BoxFuture<'static, Result<Response<Self::ResponseStream>, Status>>;
 
     fn call(&mut self, request: tonic::Request<Streaming<T>>) -> Self::Future {
@@ -130,6 +131,10 @@
             INCREMENTAL => Box::pin(async move {
                 Ok(Grpc::new(Wire::<DeltaDiscoveryRequest>::default()).streaming(method, request).await)
             }),
+            peers::PATH => {
+                let exchange = Exchange(self.hub.clone());
+                Box::pin(async move { Ok(Grpc::new(ProstCodec::default()).unary(exchange, request).await) })
+            }
             REPORTS => {
                 let mut lrs = self.lrs.clone();
                 Box::pin(async move { lrs.call(request).await })
@@ -187,7 +192,7 @@
     _seat: Seat,
     from: String,
     mut requests: Streaming<T>,
-    responses: mpsc::Sender<Result<Bytes, Status>>,
+    responses: mpsc::Sender<Result<Out, Status>>,
 ) {
     let mut first = match requests.message().await {
         Ok(Some(first)) => first,
@@ -213,7 +218,7 @@
 
 impl<T: Asking> Open<T> {
     /// Serves until the stream ends, and says why it does.
-    async fn run(&mut self, responses: &mpsc::Sender<Result<Bytes, Status>>) -> Status {
+    async fn run(&mut self, responses: &mpsc::Sender<Result<Out, Status>>) -> Status {
         let mut told = self.ads.hub.told();
         let mut leaving = self.ads.leaving.clone();
         let mut view: Option<View> = told.borrow_and_update().view(self.id);
@@ -249,7 +254,8 @@
                     if let Some(answer) = answer {
                         debug!(name: "xds_sent", stream = self.id, kind = answer.kind.short(), nonce = answer.nonce,
                             resources = answer.resources.len(), removed = answer.removed.len());
-                        permit.send(Ok(wire::response(&answer, T::VARIANT, &self.ads.identifier)));
+                        let identifier = self.ads.identifier.clone();
+                        permit.send(Ok(Out { answer, variant: T::VARIANT, identifier }));
                     }
                 }
             }
--- a/crates/control/src/codec.rs
+++ b/crates/control/src/codec.rs
@@ -1,7 +1,9 @@
-//! Responses go out as bytes that are made already; requests are decoded as usual.
+//! Responses are written straight into the stream's buffer, resource by resource, from the bytes that all streams share; until
+//! then a response is a list of these, so that one that waits for its proxy costs next to nothing.
 
-use bytes::{BufMut, Bytes};
+use plover_xds::{Answer, Variant, wire};
 use std::marker::PhantomData;
+use std::sync::Arc;
 use tonic::Status;
 use tonic::codec::{BufferSettings, Codec, EncodeBuf, Encoder};
 use tonic_prost::ProstDecoder;
@@ -18,19 +20,27 @@
     }
 }
 
-pub(crate) struct Made;
+/// A response, with what it takes to write it.
+pub(crate) struct Out {
+    pub(crate) answer: Answer,
+    pub(crate) variant: Variant,
+    pub(crate) identifier: Arc<str>,
+}
+
+/// Writes responses.
+pub(crate) struct Writer;
 
 fn settings() -> BufferSettings {
     BufferSettings::new(BUFFER.0, BUFFER.1)
 }
 
-impl Encoder for Made {
-    type Item = Bytes;
+impl Encoder for Writer {
+    type Item = Out;
     type Error = Status;
 
-    fn encode(&mut self, item: Bytes, into: &mut EncodeBuf<'_>) -> Result<(), Status> {
-        into.reserve(item.len());
-        into.put(item);
+    fn encode(&mut self, item: Out, into: &mut EncodeBuf<'_>) -> Result<(), Status> {
+        into.reserve(wire::room(&item.answer));
+        wire::put(&item.answer, item.variant, &item.identifier, into);
         Ok(())
     }
 
@@ -40,13 +50,13 @@
 }
 
 impl<T: prost::Message + Default + Send + 'static> Codec for Wire<T> {
-    type Encode = Bytes;
+    type Encode = Out;
     type Decode = T;
-    type Encoder = Made;
+    type Encoder = Writer;
     type Decoder = ProstDecoder<T>;
 
-    fn encoder(&mut self) -> Made {
-        Made
+    fn encoder(&mut self) -> Writer {
+        Writer
     }
 
     fn decoder(&mut self) -> ProstDecoder<T> {
--- a/crates/control/src/hub.rs
+++ b/crates/control/src/hub.rs
@@ -4,9 +4,10 @@
 use plover_model::server::Targets;
 use plover_model::time::{MILLI, Micros};
 use plover_runtime::clock::Clock;
+use plover_steering::loans::{Answer, Word};
 use plover_xds::{Item, Kind};
 use std::sync::Arc;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tracing::{debug, info, warn};
 
 /// Events that wait for the hub. A stream that finds the queue full waits, and its proxy with it.
@@ -39,6 +40,12 @@
     Report(Arc<str>, Vec<ClusterLoad>),
     /// News of the list of servers.
     List(Targets),
+    /// The next word to the other instances is wanted.
+    Ask(oneshot::Sender<Word>),
+    /// Another instance's word, and where the answer goes.
+    PeerWord(Word, oneshot::Sender<Answer>),
+    /// Another instance's answer.
+    PeerAnswer(Answer),
 }
 
 /// Where to tell the hub, and to hear from it.
@@ -128,6 +135,18 @@
             director.ended(now, stream);
             return false;
         }
+        Event::Ask(reply) => {
+            let _ = reply.send(director.word(now));
+            return false;
+        }
+        Event::PeerWord(word, reply) => {
+            let _ = reply.send(director.answer(now, &word));
+            return false;
+        }
+        Event::PeerAnswer(answer) => {
+            director.take(&answer);
+            return false;
+        }
         Event::Report(node, clusters) => director.report(now, &node, &clusters),
         Event::List(targets) => {
             let servers = targets.servers(zones, |ms| clock.of_unix_ms(ms));
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -8,6 +8,7 @@
 mod codec;
 mod hub;
 mod lrs;
+mod peers;
 mod roster;
 mod service;
 
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -3,6 +3,7 @@
 use crate::ads::Ads;
 use crate::hub::{Event, Hub};
 use crate::lrs::Lrs;
+use crate::peers;
 use crate::roster::Roster;
 use envoy_types::pb::envoy::service::load_stats::v3::load_reporting_service_server::LoadReportingServiceServer;
 use plover_config::Config;
@@ -45,6 +46,8 @@
     pub instance: u32,
     /// How many there may be.
     pub instances: u32,
+    /// Where the others listen that this one may talk with.
+    pub peers: Vec<SocketAddr>,
     /// Most streams.
     pub streams: usize,
     /// Cores of the smallest server.
@@ -53,6 +56,8 @@
     pub request_work: u64,
     /// A proxy forgets a cold server after this time without word, in microseconds.
     pub time_to_live: u64,
+    /// The longest that a proxy stands still and then reads what was sent to it before, in microseconds.
+    pub longest_pause: u64,
 }
 
 /// What is told once the service listens.
@@ -103,9 +108,10 @@
             times: Times {
                 time_to_live: options.time_to_live,
                 longest_request: longest,
-                longest_pause: 10 * SECOND,
+                longest_pause: options.longest_pause,
             },
             instance: Instance { number: options.instance, of: options.instances },
+            talks: !options.peers.is_empty(),
         }
     }
 
@@ -115,7 +121,7 @@
         let listen = listener.local_addr()?;
         let clock = Clock::start();
         let core = Core::new(self.config.settings.clone(), 1, self.config.seed);
-        let director = Director::new(core, self.figures());
+        let director = Director::new(clock.now(), core, self.figures());
         let hub = Hub::start(director, clock, self.config.names.zones.clone());
         // Without a list that is known, changes of it say little.
         let rev = (!self.config.known.targets.is_empty()).then_some(self.config.known.rev);
@@ -126,6 +132,7 @@
         let (watched, watching) = (hub.clone(), discovery);
         let roster = tokio::task::spawn_blocking(move || Roster::start(watched, watching, rev));
         let roster = roster.await.map_err(io::Error::other)??;
+        let asking = tokio::spawn(peers::ask(hub.clone(), self.options.peers.clone()));
         let (leave, leaving) = watch::channel(false);
         let identifier: Arc<str> = format!("{}-{}", self.config.name, self.options.instance).into();
         let ads = Ads {
@@ -170,6 +177,7 @@
             result = serving => result.map_err(io::Error::other),
             () = late => Ok(()),
         };
+        asking.abort();
         let ended = tokio::task::spawn_blocking(move || drop(roster)).await;
         info!(name: "stopped_control", instance);
         result.and(ended.map_err(io::Error::other))
--- a/crates/director/src/lib.rs
+++ b/crates/director/src/lib.rs
@@ -19,6 +19,7 @@
 use plover_model::time::{Micros, SECOND};
 use plover_steering::assign::{Cell, Instance, cells, is_cold};
 use plover_steering::leases::{Leases, Times};
+use plover_steering::loans::{self, Answer, Loans, Word};
 use plover_steering::quorum::{Place, Quorum};
 use plover_steering::{View, cold, quorum};
 use plover_xds::{Kind, Snapshot, View as Told};
@@ -31,6 +32,8 @@
 
 /// Leases are prolonged so often within their time to live.
 const BEATS: Micros = 3;
+/// What one instance lends another is for so long, unless it is lent again.
+const LOAN: Micros = 2 * SECOND;
 /// The decisions' own clocks (ejections that end, servers that grow warm) are looked at so often.
 const LOOK: Micros = SECOND / 4;
 
@@ -47,6 +50,8 @@
     pub times: Times,
     /// Which control instance this is.
     pub instance: Instance,
+    /// Whether it may talk with the others.
+    pub talks: bool,
 }
 
 /// What came of a turn.
@@ -80,6 +85,7 @@
     known: bool,
     quorum: Quorum,
     leases: Leases,
+    loans: Loans,
     proxies: Proxies,
     reports: Reports,
     /// The cells as they were told last, with the number of each cell's last change.
@@ -90,11 +96,14 @@
     beat: u64,
     next_beat: Micros,
     next_look: Micros,
+    /// Before this, no lease is dealt out.
+    quiet_until: Micros,
 }
 
 impl Director {
-    /// With no list and no proxy yet.
-    pub fn new(core: Core, figures: Figures) -> Self {
+    /// With no list and no proxy yet, at the program's start. No lease is dealt out before those of a program that may have
+    /// run here before have run out.
+    pub fn new(now: Micros, core: Core, figures: Figures) -> Self {
         Director {
             core,
             builder: Builder::new(figures.frame.clone()),
@@ -103,6 +112,11 @@
             known: false,
             quorum: Quorum::new(figures.quorum),
             leases: Leases::new(figures.times),
+            loans: Loans::new(
+                figures.instance.number,
+                figures.instance.of,
+                loans::Times { duration: LOAN, echo: figures.times.longest_echo() },
+            ),
             proxies: Proxies::default(),
             reports: Reports::default(),
             cells: Vec::new(),
@@ -111,6 +125,7 @@
             beat: 0,
             next_beat: 0,
             next_look: 0,
+            quiet_until: now + figures.times.longest_echo() + if figures.talks { LOAN } else { 0 },
             figures,
         }
     }
@@ -190,6 +205,44 @@
         self.reports.take(now, node, clusters, &names, &mut self.quorum);
     }
 
+    /// What each cold server may have out in all, and this instance's part of that; nothing as long as a program that may
+    /// have run here before could have lent it to others.
+    fn parts(&self, now: Micros) -> Vec<(NodeId, u32, u32)> {
+        if now < self.quiet_until {
+            return Vec::new();
+        }
+        let rule = &self.figures.cold;
+        let cold = self.core.views(now).into_iter().filter(|v| self.cold.contains_key(&v.name));
+        let part = |v: plover_core::View| {
+            let whole = rule.most_out(now.saturating_sub(v.cold_since.unwrap_or(now)));
+            let part = self.figures.instance.part(&v.name, whole);
+            (v.name, whole, part)
+        };
+        cold.map(part).collect()
+    }
+
+    /// The next word to the other instances.
+    pub fn word(&mut self, now: Micros) -> Word {
+        let (parts, proxies) = (self.parts(now), self.proxies.that_may_lease().len());
+        self.loans.ask(now, proxies as u32, &parts)
+    }
+
+    /// Answers another instance's word.
+    pub fn answer(&mut self, now: Micros, word: &Word) -> Answer {
+        let (parts, proxies) = (self.parts(now), self.proxies.that_may_lease().len());
+        let leases = &mut self.leases;
+        leases.expire(now);
+        self.loans.answer(now, word, proxies as u32, |server| {
+            let (_, whole, part) = parts.iter().find(|(name, ..)| name == server)?;
+            Some((*whole, *part, leases.counted(server)))
+        })
+    }
+
+    /// Takes another instance's answer.
+    pub fn take(&mut self, answer: &Answer) {
+        self.loans.take(answer);
+    }
+
     /// When the next turn is due if nothing happens before.
     pub fn due(&self) -> Micros {
         self.next_beat.min(self.next_look)
@@ -292,6 +345,11 @@
         self.next_beat = now + (self.figures.times.time_to_live / BEATS).max(1);
         if self.cold.is_empty() {
             self.next_beat = Micros::MAX;
+            return self.proxies.deal(BTreeMap::new(), self.beat);
+        }
+        if now < self.quiet_until {
+            self.next_beat = self.next_beat.max(self.quiet_until);
+            return self.proxies.deal(BTreeMap::new(), self.beat);
         }
         let heard = |v: &&View| match self.cold.get(&v.name) {
             Some(change) => self.proxies.all_heard(now, v.cell, *change),
@@ -306,7 +364,7 @@
             |proxy, cell| self.reports.traffic(now, self.proxies.node_of(proxy)?, cell),
             &self.figures.cold,
             &mut self.leases,
-            self.figures.instance,
+            |server, whole| self.loans.most(now, server, self.figures.instance.part(server, whole)),
         );
         self.beat += 1;
         self.proxies.deal(dealt, self.beat);
--- a/crates/operator-file/src/keywords.rs
+++ b/crates/operator-file/src/keywords.rs
@@ -107,6 +107,13 @@
         CONTROL,
     ),
     keyword("control-instance", "0 to 1023", "which of them this is", Effect::Restart, CONTROL),
+    keyword(
+        "control-peers",
+        "addresses with ports, commas between",
+        "other control instances that this one may talk with",
+        Effect::Restart,
+        Some("control-instances"),
+    ),
     keyword("control-streams", "1 to 65536", "most streams of proxies", Effect::Restart, CONTROL),
     keyword(
         "control-server-cores",
@@ -129,6 +136,13 @@
         Effect::Restart,
         CONTROL,
     ),
+    keyword(
+        "control-longest-pause",
+        "a time, 0us to 60s",
+        "longest that a proxy stands still and goes on",
+        Effect::Restart,
+        CONTROL,
+    ),
 ];
 
 /// The keyword of this name.
--- a/crates/operator-file/src/settings.rs
+++ b/crates/operator-file/src/settings.rs
@@ -65,6 +65,8 @@
     pub instances: u32,
     /// Which of them this is, from 0.
     pub instance: u32,
+    /// Where the others listen that this one may talk with.
+    pub peers: Vec<SocketAddr>,
     /// Most streams.
     pub streams: usize,
     /// Cores of the smallest data server.
@@ -73,6 +75,8 @@
     pub request_work: Micros,
     /// A proxy without word forgets cold servers after it.
     pub time_to_live: Micros,
+    /// The longest that a proxy stands still and then goes on.
+    pub longest_pause: Micros,
 }
 
 /// What a file sets; the default is what holds without one.
@@ -251,10 +255,13 @@
         let instances =
             self.value("control-instances", |w| values::whole(w, &(1..=1024))).unwrap_or(1) as u32;
         let instance = self.value("control-instance", |w| values::whole(w, &(0..=1023))).unwrap_or(0) as u32;
+        let peers =
+            self.value("control-peers", |w| w.split(',').map(values::address).collect::<Result<Vec<_>, _>>());
         let streams = self.value("control-streams", |w| values::whole(w, &(1..=65_536)));
         let cores = self.value("control-server-cores", |w| values::whole(w, &(1..=1024)));
         let work = self.value("control-request-work", |w| values::span(w, &(MILLI..=10 * SECOND)));
         let time_to_live = self.value("control-time-to-live", |w| values::span(w, &(SECOND..=60 * SECOND)));
+        let pause = self.value("control-longest-pause", |w| values::span(w, &(0..=60 * SECOND)));
         if let Some((_, word)) = self.taken.get("control-instance").cloned().filter(|_| instance >= instances)
         {
             let what = format!("there is no instance {instance}: they are counted from 0");
@@ -265,10 +272,12 @@
             name: name.unwrap_or_else(|| "ploverport".to_owned()),
             instances,
             instance,
+            peers: peers.unwrap_or_default(),
             streams: streams.unwrap_or(4096) as usize,
             cores: cores.unwrap_or(2) as u32,
             request_work: work.unwrap_or(126 * MILLI),
             time_to_live: time_to_live.unwrap_or(2 * SECOND),
+            longest_pause: pause.unwrap_or(10 * SECOND),
         })
     }
 
--- a/crates/operator-file/tests/files.rs
+++ b/crates/operator-file/tests/files.rs
@@ -17,10 +17,12 @@
 control-name data.example
 control-instances 3
 control-instance 2
+control-peers 127.0.0.1:18001,127.0.0.1:18002
 control-streams 3000
 control-server-cores 4
 control-request-work 90ms
 control-time-to-live 3s
+control-longest-pause 5s
 ";
 
 fn faults(text: &str) -> Vec<String> {
@@ -42,6 +44,7 @@
     );
     assert_eq!((control.instances, control.instance, control.cores), (3, 2, 4));
     assert_eq!((control.request_work, control.time_to_live), (90_000, 3_000_000));
+    assert_eq!((control.longest_pause, control.peers.len()), (5_000_000, 2));
     let three = faults("control-listen [::1]:1\ncontrol-instances 3\ncontrol-instance 3\ncontrol-name a/b\n");
     assert_eq!(three.len(), 2, "{three:?}");
     assert!(three[0].contains("control-instances, 3") && three[1].contains("letters"), "{three:?}");
--- a/crates/ploverport/src/control/mod.rs
+++ b/crates/ploverport/src/control/mod.rs
@@ -34,10 +34,12 @@
         name: control.name,
         instance: control.instance,
         instances: control.instances,
+        peers: control.peers,
         streams: control.streams,
         cores: control.cores,
         request_work: control.request_work,
         time_to_live: control.time_to_live,
+        longest_pause: control.longest_pause,
     })
 }
 
--- a/crates/steering/src/leases.rs
+++ b/crates/steering/src/leases.rs
@@ -51,6 +51,14 @@
     by_server: BTreeMap<NodeId, BTreeMap<Proxy, Lease>>,
 }
 
+impl Times {
+    /// The longest that anybody acts on a word whose stream has ended, or whose sender has: the proxy stands still, reads it,
+    /// acts on it, and its last request ends.
+    pub fn longest_echo(&self) -> Micros {
+        self.longest_pause + self.time_to_live + self.longest_request
+    }
+}
+
 impl Leases {
     /// None yet.
     pub fn new(times: Times) -> Self {
@@ -62,7 +70,10 @@
     /// [`Leases::stream_ended`] to follow. `most` is this instance's part of what the server may have out.
     pub fn grant(&mut self, now: Micros, server: &NodeId, proxy: &Proxy, wanted: u32, most: u32) -> u32 {
         self.expire(now);
-        let free = most.saturating_sub(self.counted(server));
+        let Some(free) = most.checked_sub(self.counted(server)) else {
+            // More is out than may be, since a part of it was lent and had to go back: what runs out is not prolonged.
+            return 0;
+        };
         let leases = self.by_server.entry(server.clone()).or_default();
         match leases.get_mut(proxy) {
             // One that ends is counted until it has.
@@ -179,6 +190,18 @@
         assert_eq!(leases.grant(0, &server(), &proxy(2), 2, 6), 2, "it grows with the server");
     }
 
+    /// Part of it was borrowed, and had to go back: what is out runs out, and nobody's is prolonged meanwhile.
+    #[test]
+    fn what_is_over_the_most_is_not_prolonged() {
+        let mut leases = Leases::new(TIMES);
+        assert_eq!(leases.grant(0, &server(), &proxy(0), 3, 5), 3);
+        assert_eq!(leases.grant(0, &server(), &proxy(1), 2, 5), 2);
+        (0..2).for_each(|n| leases.acknowledged(0, &proxy(n)));
+        assert_eq!(leases.grant(SECOND, &server(), &proxy(0), 3, 4), 0);
+        assert_eq!(leases.counted(&server()), 5, "they may act on it still");
+        assert_eq!(leases.grant(6 * SECOND, &server(), &proxy(1), 4, 4), 4);
+    }
+
     /// A proxy that is cut off acts on its lease until the time to live is over, and its last request is out for longer.
     #[test]
     fn a_lease_counts_until_its_proxy_cannot_act_on_it() {
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -5,12 +5,14 @@
 //!
 //! - [`cold`] says how many requests a cold server may have out from everybody together;
 //! - [`leases`] deals those out to proxies, and counts each until its proxy can no longer act on it;
+//! - [`loans`] moves parts of that between control instances that may talk;
 //! - [`quorum`] lets the views of several proxies, and never of one, take a server out, and not too many of them;
 //! - [`assign`] makes the clusters and endpoints that one proxy is told of.
 
 pub mod assign;
 pub mod cold;
 pub mod leases;
+pub mod loans;
 pub mod quorum;
 
 use plover_model::server::{NodeId, NodeState};
--- a/crates/xds-resources/src/endpoints.rs
+++ b/crates/xds-resources/src/endpoints.rs
@@ -67,12 +67,12 @@
 
 /// A cell's endpoints, a locality for each zone.
 pub(crate) fn of_cell(name: &str, cell: &Cell, frame: &Frame) -> ClusterLoadAssignment {
-    let mut zones: BTreeMap<Option<usize>, Vec<LbEndpoint>> = BTreeMap::new();
+    // By name: a locality that is there twice is refused by gRPC clients.
+    let mut zones: BTreeMap<Option<&String>, Vec<LbEndpoint>> = BTreeMap::new();
     for e in &cell.endpoints {
-        zones.entry(e.zone).or_default().push(endpoint(e));
+        zones.entry(e.zone.and_then(|z| frame.zones.get(z))).or_default().push(endpoint(e));
     }
-    let endpoints =
-        zones.into_iter().map(|(zone, all)| locality(zone.and_then(|z| frame.zones.get(z)), all)).collect();
+    let endpoints = zones.into_iter().map(|(zone, all)| locality(zone, all)).collect();
     ClusterLoadAssignment { cluster_name: name.to_owned(), endpoints, ..ClusterLoadAssignment::default() }
 }
 
--- a/crates/xds/src/watch.rs
+++ b/crates/xds/src/watch.rs
@@ -113,7 +113,8 @@
 #[derive(Debug)]
 struct Sent {
     nonce: u64,
-    items: Vec<Item>,
+    /// What was told, and what each of it points at.
+    items: Vec<(Item, Arc<[Arc<str>]>)>,
     removed: Vec<Arc<str>>,
 }
 
@@ -304,19 +305,18 @@
         if error.is_some() {
             self.unremoved.extend(removed);
         }
-        for item in &items {
+        for (item, needs) in &items {
             let Some(held) = self.held.get_mut(&item.name) else { continue };
             let newest = held.sent == Some((item.version, item.beat));
             match error {
                 Some(_) => held.refused |= newest,
                 None => {
                     held.acked = true;
-                    if let Some(resource) = held.resource.as_ref().filter(|_| newest) {
-                        held.needs = Some(resource.needs.clone());
-                    }
+                    held.needs = Some(needs.clone());
                 }
             }
         }
+        let items = items.into_iter().map(|(item, _)| item).collect();
         match error {
             Some(words) => Heard::Refused { items, words },
             None => Heard::Acked(items),
@@ -378,7 +378,8 @@
         self.held.keys()
     }
 
-    /// All that the proxy's resources of this kind may point at: those sent, and those accepted before.
+    /// All that the proxy's resources of this kind may point at: those sent, whether or not it has said so, and those
+    /// accepted last.
     pub(crate) fn needed(&self) -> BTreeSet<Arc<str>> {
         let mut needed = BTreeSet::new();
         for held in self.held.values() {
@@ -386,6 +387,8 @@
             let acked = held.needs.iter().flat_map(|n| n.iter());
             needed.extend(sent.chain(acked).cloned());
         }
+        let out = self.out.iter().flat_map(|s| &s.items).flat_map(|(_, needs)| needs.iter());
+        needed.extend(out.cloned());
         needed
     }
 
@@ -437,7 +440,8 @@
             held.refused &= held.sent.is_some_and(|(v, _)| v == r.version);
             held.sent = Some((r.version, r.beat));
             held.resource = Some(r.clone());
-            items.push(Item { name: r.name.clone(), version: r.version, beat: r.beat });
+            let item = Item { name: r.name.clone(), version: r.version, beat: r.beat };
+            items.push((item, r.needs.clone()));
         }
         let removed: BTreeSet<Arc<str>> = match self.variant {
             Variant::Delta => gone.into_iter().chain(absent).chain(unremoved).collect(),
--- a/crates/xds/src/wire.rs
+++ b/crates/xds/src/wire.rs
@@ -18,12 +18,12 @@
     key_len(tag) + encoded_len_varint(length as u64) + length
 }
 
-fn head(tag: u32, length: usize, into: &mut BytesMut) {
+fn head(tag: u32, length: usize, into: &mut impl BufMut) {
     encode_key(tag, WireType::LengthDelimited, into);
     encode_varint(length as u64, into);
 }
 
-fn text(tag: u32, text: &str, into: &mut BytesMut) {
+fn text(tag: u32, text: &str, into: &mut impl BufMut) {
     if !text.is_empty() {
         head(tag, text.len(), into);
         into.put_slice(text.as_bytes());
@@ -57,7 +57,7 @@
     text_len(1, version) + field_len(2, r.any.len()) + text_len(3, &r.name) + ttl
 }
 
-fn put_resource(r: &Resource, version: &str, ttl: &[u8], into: &mut BytesMut) {
+fn put_resource(r: &Resource, version: &str, ttl: &[u8], into: &mut impl BufMut) {
     text(1, version, into);
     head(2, r.any.len(), into);
     into.put_slice(&r.any);
@@ -68,45 +68,52 @@
     }
 }
 
-/// The bytes of a response. `identifier` names the control instance.
-pub fn response(answer: &Answer, variant: Variant, identifier: &str) -> Bytes {
-    let type_url = answer.kind.type_url();
-    let (version, nonce) = (answer.version.to_string(), answer.nonce.to_string());
-    let control_plane = text_len(1, identifier);
-    let body: usize = answer.resources.iter().map(|r| r.any.len() + r.name.len() + 128).sum();
+/// About how long a response is, and no less: so much room spares its buffer from growing.
+pub fn room(answer: &Answer) -> usize {
+    let body: usize = answer.resources.iter().map(|r| r.any.len() + r.name.len() + 192).sum();
     let removed: usize = answer.removed.iter().map(|n| n.len() + 8).sum();
-    let mut bytes = BytesMut::with_capacity(body + removed + 256);
-    text(1, &version, &mut bytes);
+    body + removed + 512
+}
+
+/// Writes a response. `identifier` names the control instance.
+pub fn put(answer: &Answer, variant: Variant, identifier: &str, into: &mut impl BufMut) {
+    let (version, nonce) = (answer.version.to_string(), answer.nonce.to_string());
+    text(1, &version, into);
     for r in &answer.resources {
         let ttl = r.ttl_ms.map(duration).unwrap_or_default();
         let version = r.version.to_string();
         match variant {
             Variant::Sotw if ttl.is_empty() => {
-                head(2, r.any.len(), &mut bytes);
-                bytes.put_slice(&r.any);
+                head(2, r.any.len(), into);
+                into.put_slice(&r.any);
             }
             Variant::Sotw => {
                 let length = resource_len(r, &version, &ttl);
-                head(2, field_len(1, WRAPPER.len()) + field_len(2, length), &mut bytes);
-                text(1, WRAPPER, &mut bytes);
-                head(2, length, &mut bytes);
-                put_resource(r, &version, &ttl, &mut bytes);
+                head(2, field_len(1, WRAPPER.len()) + field_len(2, length), into);
+                text(1, WRAPPER, into);
+                head(2, length, into);
+                put_resource(r, &version, &ttl, into);
             }
             Variant::Delta => {
-                head(2, resource_len(r, &version, &ttl), &mut bytes);
-                put_resource(r, &version, &ttl, &mut bytes);
+                head(2, resource_len(r, &version, &ttl), into);
+                put_resource(r, &version, &ttl, into);
             }
         }
     }
-    text(4, type_url, &mut bytes);
-    text(5, &nonce, &mut bytes);
+    text(4, answer.kind.type_url(), into);
+    text(5, &nonce, into);
     if variant == Variant::Delta {
-        answer.removed.iter().for_each(|name| text(6, name, &mut bytes));
+        answer.removed.iter().for_each(|name| text(6, name, into));
     }
-    let tag = if variant == Variant::Delta { 7 } else { 6 };
-    if control_plane > 0 {
-        head(tag, control_plane, &mut bytes);
-        text(1, identifier, &mut bytes);
+    if !identifier.is_empty() {
+        head(if variant == Variant::Delta { 7 } else { 6 }, text_len(1, identifier), into);
+        text(1, identifier, into);
     }
+}
+
+/// The bytes of a response.
+pub fn response(answer: &Answer, variant: Variant, identifier: &str) -> Bytes {
+    let mut bytes = BytesMut::with_capacity(room(answer));
+    put(answer, variant, identifier, &mut bytes);
     bytes.freeze()
 }
