State the quorum's usual figures and a server's view once

Need: the same ten figures of the ejection rule stood in the service and in two tests, and the view of a server was a type of its own in core and again in steering, copied field by field in director.

Change: quorum::Rule::USUAL; the view is one plain value in model, which core fills with the address that its caller knows. A doubled comment is gone. Looked for and left: the cold rule's example figures in two packages' tests, decoders of the same shape on the two sides of the data servers' frames, tables of cases.

Result: tests of model, core, steering and director pass, no lint; nothing that is told differs (the same tests of versions and turns).

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,9 +9,10 @@
 use brookbend::room::no_room_advice;
 use brookbend::view::{Bulk, ServerView};
 use plover_model::query::{AttemptId, PartSpec, QueryId};
-use plover_model::server::{ListScope, NodeId, NodeState, Outcome, ServerInfo};
+use plover_model::server::{ListScope, NodeId, Outcome, ServerInfo, View};
 use plover_model::time::{MILLI, Micros, millis};
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 
 /// A query that wants answers from its shards.
 #[derive(Clone, Debug)]
@@ -95,25 +96,6 @@
     pub overdue: usize,
 }
 
-/// A server as the decisions see it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct View {
-    /// Its name.
-    pub name: NodeId,
-    /// Its cell.
-    pub cell: usize,
-    /// Index of its zone.
-    pub zone: Option<usize>,
-    /// Its state in the list.
-    pub state: NodeState,
-    /// Until when it is passed over.
-    pub ejected_until: Option<Micros>,
-    /// When its process started, if it may still be cold; 0 if that was before the clock's origin.
-    pub cold_since: Option<Micros>,
-    /// Time until an answer per work, against the fleet's.
-    pub pace: f64,
-}
-
 /// What others saw at a server over some time.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Seen {
@@ -263,19 +245,21 @@
         decisions
     }
 
-    /// The servers as the decisions see them, but for those that are gone.
-    pub fn views(&self, now: Micros) -> Vec<View> {
-        let at = |ms: f64| millis(ms);
-        let view = |v: ServerView| View {
-            name: v.node,
-            cell: v.cell,
-            zone: v.zone,
-            state: v.state,
-            ejected_until: v.ejected_until.map(at),
-            cold_since: v.cold_since.map(at),
-            pace: v.pace,
+    /// The servers as the decisions see them, but for those that are gone, or of which nobody knows where they listen.
+    pub fn views(&self, now: Micros, address: impl Fn(&NodeId) -> Option<SocketAddr>) -> Vec<View> {
+        let view = |v: ServerView| {
+            Some(View {
+                endpoint: address(&v.node)?,
+                name: v.node,
+                cell: v.cell,
+                zone: v.zone,
+                state: v.state,
+                ejected_until: v.ejected_until.map(millis),
+                cold_since: v.cold_since.map(millis),
+                pace: v.pace,
+            })
         };
-        self.aggregator.views(to_ms(now)).into_iter().map(view).collect()
+        self.aggregator.views(to_ms(now)).into_iter().filter_map(view).collect()
     }
 
     /// Takes what others saw at the servers. It counts as attempts of the first class.
--- a/crates/director/src/lib.rs
+++ b/crates/director/src/lib.rs
@@ -212,8 +212,8 @@
             return Vec::new();
         }
         let rule = &self.figures.cold;
-        let cold = self.core.views(now).into_iter().filter(|v| self.cold.contains_key(&v.name));
-        let part = |v: plover_core::View| {
+        let cold = self.views(now).into_iter().filter(|v| self.cold.contains_key(&v.name));
+        let part = |v: View| {
             let whole = rule.most_out(now.saturating_sub(v.cold_since.unwrap_or(now)));
             let part = self.figures.instance.part(&v.name, whole);
             (v.name, whole, part)
@@ -308,20 +308,7 @@
     }
 
     fn views(&self, now: Micros) -> Vec<View> {
-        let view = |v: plover_core::View| {
-            let endpoint = *self.addresses.get(&v.name)?;
-            Some(View {
-                name: v.name,
-                endpoint,
-                cell: v.cell,
-                zone: v.zone,
-                state: v.state,
-                ejected_until: v.ejected_until,
-                cold_since: v.cold_since,
-                pace: v.pace,
-            })
-        };
-        self.core.views(now).into_iter().filter_map(view).collect()
+        self.core.views(now, |name| self.addresses.get(name).copied())
     }
 
     /// Notes which servers are cold, and with which change of its cell's endpoints each was left out. True: the set
--- a/crates/director/tests/turns.rs
+++ b/crates/director/tests/turns.rs
@@ -45,18 +45,7 @@
     let configuration =
         Deployment { cells: 2, ..Deployment::default() }.around(nowhere, &none, "127.0.0.1:0");
     let config = plover_config::check(&configuration, |_| None).unwrap();
-    let quorum = quorum::Rule {
-        proxies: 2,
-        share: 0.5,
-        failures: 0.5,
-        requests: 5,
-        fresh: 10 * SECOND,
-        first: 2 * SECOND,
-        longest: 30 * SECOND,
-        forgiven: 60 * SECOND,
-        most_out: 0.5,
-        cut_off: 0.8,
-    };
+    let quorum = quorum::Rule::USUAL;
     let frame = Frame {
         name: "ploverport".into(),
         zones: config.names.zones.clone(),
--- a/crates/load/src/raw.rs
+++ b/crates/load/src/raw.rs
@@ -173,7 +173,6 @@
         }
     }
 
-    /// The next frame of this kind, others passed over.
     /// Waits for a frame of this kind; others are passed over.
     pub fn expect(&mut self, kind: u8) -> Frame {
         let mut others: Vec<Frame> = Vec::new();
--- a/crates/model/src/server.rs
+++ b/crates/model/src/server.rs
@@ -1,5 +1,6 @@
 //! The list of data servers: as discovery sends it, and as the decisions see it.
 
+use crate::time::Micros;
 use serde::Deserialize;
 use std::net::SocketAddr;
 
@@ -20,6 +21,27 @@
     pub started: Option<i64>,
 }
 
+/// A server as the module sees it, and where it listens.
+#[derive(Clone, Debug, PartialEq)]
+pub struct View {
+    /// Its name.
+    pub name: NodeId,
+    /// Where it listens.
+    pub endpoint: SocketAddr,
+    /// Its cell: servers of one cell hold the same shards.
+    pub cell: usize,
+    /// Index of its zone.
+    pub zone: Option<usize>,
+    /// Its state in the list.
+    pub state: NodeState,
+    /// Until when it is passed over for its failures.
+    pub ejected_until: Option<Micros>,
+    /// When its process started, if it may still be cold.
+    pub cold_since: Option<Micros>,
+    /// Time until an answer per work out there, against the fleet's: 1 is usual, 2 half as fast.
+    pub pace: f64,
+}
+
 /// What a list of servers is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListScope {
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -15,31 +15,9 @@
 pub mod loans;
 pub mod quorum;
 
-use plover_model::server::{NodeId, NodeState};
-use plover_model::time::Micros;
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 /// Name of a proxy, the same over its streams.
 pub type Proxy = Arc<str>;
 
-/// A server as the module sees it, and where it listens.
-#[derive(Clone, Debug, PartialEq)]
-pub struct View {
-    /// Its name.
-    pub name: NodeId,
-    /// Where it listens.
-    pub endpoint: SocketAddr,
-    /// Its cell: servers of one cell hold the same shards.
-    pub cell: usize,
-    /// Index of its zone.
-    pub zone: Option<usize>,
-    /// Its state in the list.
-    pub state: NodeState,
-    /// Until when it is passed over for its failures.
-    pub ejected_until: Option<Micros>,
-    /// When its process started, if it may still be cold.
-    pub cold_since: Option<Micros>,
-    /// Time until an answer per work out there, against the fleet's: 1 is usual, 2 half as fast.
-    pub pace: f64,
-}
+pub use plover_model::server::View;
--- a/crates/steering/src/quorum.rs
+++ b/crates/steering/src/quorum.rs
@@ -7,7 +7,7 @@
 
 use crate::Proxy;
 use plover_model::server::NodeId;
-use plover_model::time::Micros;
+use plover_model::time::{Micros, SECOND};
 use std::collections::BTreeMap;
 
 /// Figures of the rule.
@@ -35,6 +35,22 @@
     pub cut_off: f64,
 }
 
+impl Rule {
+    /// What holds where nobody says otherwise: two proxies at the least, half of those that sent it anything, half of a cell.
+    pub const USUAL: Rule = Rule {
+        proxies: 2,
+        share: 0.5,
+        failures: 0.5,
+        requests: 5,
+        fresh: 10 * SECOND,
+        first: 2 * SECOND,
+        longest: 30 * SECOND,
+        forgiven: 60 * SECOND,
+        most_out: 0.5,
+        cut_off: 0.8,
+    };
+}
+
 /// What one proxy reported of one server over its last interval.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Report {
@@ -194,21 +210,9 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use plover_model::time::SECOND;
     use proptest::prelude::*;
 
-    const RULE: Rule = Rule {
-        proxies: 2,
-        share: 0.5,
-        failures: 0.5,
-        requests: 5,
-        fresh: 10 * SECOND,
-        first: 2 * SECOND,
-        longest: 30 * SECOND,
-        forgiven: 60 * SECOND,
-        most_out: 0.5,
-        cut_off: 0.8,
-    };
+    const RULE: Rule = Rule::USUAL;
     const ERRORS: Report = Report { served: 1, errors: 9, silent: 0 };
     const SILENT: Report = Report { served: 0, errors: 0, silent: 9 };
     const SOUND: Report = Report { served: 9, errors: 0, silent: 0 };
