Give connections time to speak before they make room for a burst

Cause: a burst of 256 silent connections is accepted faster than anybody can send a byte, so a usual client that connects in the same moment was the eldest silent one and was closed.

Change: a connection that has asked nothing is not made to go for 25 ms, and no served one goes in its place; the burst waits in the system's queue.

--- a/crates/broker/src/front/http1.rs
+++ b/crates/broker/src/front/http1.rs
@@ -47,8 +47,8 @@
     }
 
     /// An error is the client's going away, which its ticket has told.
-    async fn serve(self: Rc<Self>, stream: Async<TcpStream>, _seat: Seat) {
-        let _ = self.connection(stream).await;
+    async fn serve(self: Rc<Self>, stream: Async<TcpStream>, seat: Seat) {
+        let _ = self.connection(stream, &seat).await;
     }
 
     fn turn_away(&self, stream: &Async<TcpStream>) {
@@ -77,17 +77,17 @@
         self.seats.close_idle();
     }
 
-    async fn connection(&self, stream: Async<TcpStream>) -> io::Result<()> {
+    async fn connection(&self, stream: Async<TcpStream>, seat: &Seat) -> io::Result<()> {
         stream.get_ref().set_nodelay(true)?;
         let mut input = Vec::new();
         let mut decoder = RequestDecoder::new(LIMITS);
         let mut served = false;
         let number = self.shared.next_connection();
         loop {
-            if input.is_empty() && !self.first_bytes(&stream, &mut input, served).await? {
+            if input.is_empty() && !self.first_bytes(&stream, seat, &mut input, served).await? {
                 return Ok(());
             }
-            let message = match self.request(&stream, &mut decoder, &mut input, served).await {
+            let message = match self.request(&stream, seat, &mut decoder, &mut input, served).await {
                 Ok(Read::Whole(message)) => message,
                 Ok(Read::Bad(fault)) => return self.reject(&stream, fault.status(), fault.why()).await,
                 Err(e) if e.kind() == io::ErrorKind::TimedOut => {
@@ -119,6 +119,7 @@
     async fn first_bytes(
         &self,
         stream: &Async<TcpStream>,
+        seat: &Seat,
         input: &mut Vec<u8>,
         served: bool,
     ) -> io::Result<bool> {
@@ -126,7 +127,7 @@
             // What is there already has been taken: it is read and answered.
             return Ok(read_some(stream, input).or(async { Ok(0) }).await? > 0);
         }
-        let spare = self.seats.spare(if served { Rank::Served } else { Rank::Fresh });
+        let spare = seat.spare(if served { Rank::Served } else { Rank::Fresh });
         let silent = Timer::after(if served { self.seats.idle_time() } else { SILENCE });
         let end = async {
             spare.closed().or(async { _ = silent.await }).await;
@@ -140,6 +141,7 @@
     async fn request(
         &self,
         stream: &Async<TcpStream>,
+        seat: &Seat,
         decoder: &mut RequestDecoder,
         input: &mut Vec<u8>,
         served: bool,
@@ -148,7 +150,7 @@
         if served {
             return read.await;
         }
-        let spare = self.seats.spare(Rank::Beginning);
+        let spare = seat.spare(Rank::Beginning);
         let evicted = async {
             spare.closed().await;
             Err(io::ErrorKind::ConnectionAborted.into())
--- a/crates/broker/src/front/http2/mod.rs
+++ b/crates/broker/src/front/http2/mod.rs
@@ -64,10 +64,10 @@
         &self.seats
     }
 
-    async fn serve(self: Rc<Self>, stream: Async<TcpStream>, _seat: Seat) {
+    async fn serve(self: Rc<Self>, stream: Async<TcpStream>, seat: Seat) {
         let connection = self.shared.next_connection();
         let stream = Rc::new(stream);
-        let ahead = match self.preface(&stream).await {
+        let ahead = match self.preface(&stream, &seat).await {
             Ok(ahead) => ahead,
             Err(violation) => {
                 if let Some(violation) = violation {
@@ -77,7 +77,7 @@
                 return;
             }
         };
-        if self.connection(connection, stream.clone(), ahead).await == Parting::InOrder {
+        if self.connection(connection, stream.clone(), &seat, ahead).await == Parting::InOrder {
             // A client that is still sending would see a reset in place of the last words.
             let _ = linger(&stream).await;
         }
@@ -105,10 +105,10 @@
 
     /// Reads what a connection begins with, up to the length of the preface. An error without a violation is a client
     /// that went away or said nothing.
-    async fn preface(&self, stream: &Async<TcpStream>) -> Result<Vec<u8>, Option<Violation>> {
+    async fn preface(&self, stream: &Async<TcpStream>, seat: &Seat) -> Result<Vec<u8>, Option<Violation>> {
         let mut guard = Guard::new(0, Budget::new(1, 1));
         let mut ahead = Vec::new();
-        let spare = self.seats.spare(Rank::Fresh);
+        let spare = seat.spare(Rank::Fresh);
         let read = async {
             while ahead.len() < PREFACE.len() {
                 let seen = ahead.len();
@@ -140,7 +140,13 @@
         linger(stream).await
     }
 
-    async fn connection(&self, number: Connection, stream: Rc<Async<TcpStream>>, ahead: Vec<u8>) -> Parting {
+    async fn connection(
+        &self,
+        number: Connection,
+        stream: Rc<Async<TcpStream>>,
+        seat: &Seat,
+        ahead: Vec<u8>,
+    ) -> Parting {
         let limits = self.limits.get();
         let budget = Budget::new(limits.streams, limits.header_list);
         let watch = Watch::new(Guard::new(self.clock.now(), budget));
@@ -161,6 +167,7 @@
         let Ok(h2) = limited(span(SILENCE), handshake).await else { return Parting::InOrder };
         let mut life = Life {
             front: self,
+            seat,
             number,
             h2,
             streams: FuturesUnordered::new(),
@@ -211,6 +218,7 @@
 /// One connection and its requests.
 struct Life<'a> {
     front: &'a Http2,
+    seat: &'a Seat,
     number: Connection,
     h2: server::Connection<Watched, Bytes>,
     streams: FuturesUnordered<Served>,
@@ -350,7 +358,8 @@
             false if half => Rank::Fresh,
             false => Rank::Greeted,
         };
-        let spare: Option<Spare<'_>> = idle.then(|| self.front.seats.spare(rank));
+        let seat = self.seat;
+        let spare: Option<Spare<'_>> = idle.then(|| seat.spare(rank));
         let evicted = async {
             match &spare {
                 Some(spare) => spare.closed().await,
--- a/crates/broker/src/front/mod.rs
+++ b/crates/broker/src/front/mod.rs
@@ -204,11 +204,10 @@
         let front = Rc::new(Http1::new(shared, 2));
         let seats: Rc<Seats> = accept::Serve::seats(&*front).clone();
         let stays = seats.take();
-        let _stays = seats.spare(Rank::Fresh);
-        let (leaving, seat) = (seats.clone(), seats.take());
+        let _stays = stays.spare(Rank::Fresh);
+        let seat = seats.take();
         let leaves = executor.spawn(async move {
-            leaving.spare(Rank::Served).closed().await;
-            drop(seat);
+            seat.spare(Rank::Served).closed().await;
         });
         let listener = Rc::new(Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap());
         let _client = TcpStream::connect(listener.get_ref().local_addr().unwrap()).unwrap();
@@ -221,6 +220,5 @@
             Ok(())
         };
         async_io::block_on(executor.run(limited(Duration::from_secs(30), taken))).unwrap();
-        drop(stays);
     }
 }
--- a/crates/broker/src/front/seats.rs
+++ b/crates/broker/src/front/seats.rs
@@ -17,6 +17,10 @@
 const PRESSED: (usize, usize) = (1, 4);
 /// Longest wait for a connection to make room before another is asked to.
 const ROOM_PAUSE: Duration = Duration::from_millis(5);
+/// A connection that has asked nothing yet is not made to go before this time. A burst of silent ones is accepted faster
+/// than anybody could say a word, and pushed out those who connected in the same moment; behind this wait the burst
+/// stands in the system's queue instead.
+const FIRST_WORDS: Duration = Duration::from_millis(25);
 /// Longest wait for room: then a new client is told that there is none, and can try another broker.
 const ROOM_TIME: Duration = Duration::from_millis(250);
 
@@ -39,20 +43,44 @@
     most: usize,
     open: Cell<usize>,
     next: Cell<u64>,
-    /// Of each connection that may be closed for want of room, its rank and age there: dropping the sender closes
-    /// it, the first one first.
-    spare: RefCell<BTreeMap<(Rank, u64), Sender<()>>>,
+    /// Connections that may be closed for want of room, by rank and age there: the first one first.
+    spare: RefCell<BTreeMap<(Rank, u64), Leaver>>,
     /// Rung when a connection ends.
     room: (Sender<()>, Receiver<()>),
 }
 
+/// One that may be closed, from that time on: dropping the sender closes it.
+struct Leaver {
+    _stay: Sender<()>,
+    from: Instant,
+}
+
 /// Counts a connection for as long as it lives.
-pub(super) struct Seat(Rc<Seats>);
+pub(super) struct Seat {
+    seats: Rc<Seats>,
+    since: Instant,
+}
 
 impl Drop for Seat {
     fn drop(&mut self) {
-        self.0.open.set(self.0.open.get() - 1);
-        let _ = self.0.room.0.try_send(());
+        self.seats.open.set(self.seats.open.get() - 1);
+        let _ = self.seats.room.0.try_send(());
+    }
+}
+
+impl Seat {
+    /// Lets the connection be closed for want of room.
+    pub(super) fn spare(&self, rank: Rank) -> Spare<'_> {
+        let seats = &self.seats;
+        let key = (rank, seats.next.get());
+        seats.next.set(key.1 + 1);
+        let (stay, closed) = async_channel::bounded(1);
+        let from = match rank {
+            Rank::Fresh | Rank::Greeted => self.since + FIRST_WORDS,
+            Rank::Served | Rank::Beginning => self.since,
+        };
+        seats.spare.borrow_mut().insert(key, Leaver { _stay: stay, from });
+        Spare { seats, key, closed }
     }
 }
 
@@ -96,7 +124,7 @@
     /// Takes a seat, whoever else is there.
     pub(super) fn take(self: &Rc<Self>) -> Seat {
         self.open.set(self.open.get() + 1);
-        Seat(self.clone())
+        Seat { seats: self.clone(), since: Instant::now() }
     }
 
     /// Takes a seat if one is free.
@@ -109,7 +137,7 @@
         let start = Instant::now();
         while self.open.get() >= self.most {
             let _ = self.room.1.try_recv(); // rung when there was room still
-            let evicted = self.spare.borrow_mut().pop_first().is_some();
+            let evicted = self.evict(Instant::now());
             warn!(name: "front_full", open = self.open.get(), evicted);
             if start.elapsed() >= ROOM_TIME {
                 return false;
@@ -121,13 +149,14 @@
         true
     }
 
-    /// Lets the connection be closed for want of room.
-    pub(super) fn spare(&self, rank: Rank) -> Spare<'_> {
-        let key = (rank, self.next.get());
-        self.next.set(key.1 + 1);
-        let (stay, closed) = async_channel::bounded(1);
-        self.spare.borrow_mut().insert(key, stay);
-        Spare { seats: self, key, closed }
+    /// Closes one of those that go first. None of the others goes in place of one that has its time still: a burst
+    /// of silent ones would push out those that were served.
+    fn evict(&self, now: Instant) -> bool {
+        let mut spare = self.spare.borrow_mut();
+        let Some(rank) = spare.first_key_value().map(|(key, _)| key.0) else { return false };
+        let first = spare.iter().take_while(|(key, _)| key.0 == rank).find(|(_, leaver)| leaver.from <= now);
+        let Some(key) = first.map(|(key, _)| *key) else { return false };
+        spare.remove(&key).is_some()
     }
 
     /// Closes all that are idle; those in the middle of a request go on.
@@ -162,12 +191,12 @@
     #[test]
     fn room_is_made_by_those_who_have_asked_least() {
         let seats = Seats::new(4);
+        let held = [(); 4].map(|()| seats.take());
         let ranks = [Rank::Beginning, Rank::Served, Rank::Fresh, Rank::Served];
-        let spares = ranks.map(|rank| seats.spare(rank));
-        let closed = || spares.each_ref().map(|s| s.closed.is_closed());
+        let spares: Vec<Spare> = held.iter().zip(ranks).map(|(seat, rank)| seat.spare(rank)).collect();
         let mut order = Vec::new();
-        while seats.spare.borrow_mut().pop_first().is_some() {
-            order.push(closed());
+        while seats.evict(Instant::now() + FIRST_WORDS) {
+            order.push(spares.iter().map(|s| s.closed.is_closed()).collect::<Vec<_>>());
         }
         let expected = [
             [false, false, true, false],
@@ -176,8 +205,24 @@
             [true, true, true, true],
         ];
         assert_eq!(order, expected);
-        let again = seats.spare(Rank::Served);
+        let again = held[0].spare(Rank::Served);
         drop(again);
         assert!(seats.spare.borrow().is_empty());
     }
+
+    /// One that connects in a burst has its time to say something, and those that were served do not go in its place.
+    #[test]
+    fn nobody_goes_before_there_was_time_to_speak() {
+        let seats = Seats::new(3);
+        let held = [(); 3].map(|()| seats.take());
+        let since = held[2].since;
+        let served = held[0].spare(Rank::Served);
+        let (first, greeted) = (held[1].spare(Rank::Fresh), held[2].spare(Rank::Greeted));
+        assert!(!seats.evict(held[1].since + FIRST_WORDS - Duration::from_micros(1)));
+        assert!(!first.closed.is_closed() && !served.closed.is_closed());
+        assert!(seats.evict(since + FIRST_WORDS) && first.closed.is_closed());
+        assert!(!seats.evict(since) && !served.closed.is_closed());
+        assert!(seats.evict(since + FIRST_WORDS) && greeted.closed.is_closed());
+        assert!(seats.evict(Instant::now()) && served.closed.is_closed());
+    }
 }
--- a/crates/ploverport/src/bench/mod.rs
+++ b/crates/ploverport/src/bench/mod.rs
@@ -74,6 +74,12 @@
     at_once: usize,
 }
 
+impl Measurement {
+    fn name(&self) -> String {
+        format!("{}, {} at once", self.front.name(), self.at_once)
+    }
+}
+
 /// Runs all measurements and prints them.
 pub(crate) fn run(arguments: &BenchArguments) -> ExitCode {
     match measure_all(arguments) {
@@ -116,8 +122,13 @@
     let mut plan = plan();
     plan.retain(|m| build.http2 || !matches!(m.front, Front::Http2(_)));
     plan.retain(|m| build.http2 || matches!(m.turns, Turns::Ticks));
-    let sizes: Vec<_> = memory::SIZES.into_iter().filter(|(http2, _)| build.http2 || !http2).collect();
+    plan.retain(|m| format!(" {} {}", m.name(), m.turns.name()).contains(&arguments.only));
+    let asked = |(http2, queries): &(bool, usize)| {
+        (build.http2 || !http2) && format!("{} {queries}", version(*http2)).contains(&arguments.only)
+    };
+    let sizes: Vec<_> = memory::SIZES.into_iter().filter(asked).collect();
     let floods = if build.http2 { &floods::KINDS[..] } else { &[] };
+    let floods: Vec<_> = floods.iter().filter(|(what, _)| what.contains(&arguments.only)).collect();
     let steps = plan.len() + sizes.len() + floods.len();
     let bar = ProgressBar::new(steps as u64);
     let style =
@@ -208,7 +219,7 @@
     let calls = (parts - attempts.0) as f64 / (calls - attempts.1).max(1) as f64;
     let asked = (served + unserved).max(1) as f64;
     Ok(Row {
-        what: format!("{}, {} at once", m.front.name(), m.at_once),
+        what: m.name(),
         rate: served as f64 / time.as_secs_f64(),
         cpu_us: (cpu >= LEAST_CPU).then(|| cpu.as_secs_f64() * 1e6 / asked),
         latency,
--- a/crates/ploverport/src/cli.rs
+++ b/crates/ploverport/src/cli.rs
@@ -153,6 +153,9 @@
     /// HTTP/1.1 alone, for builds that speak nothing else
     #[arg(long)]
     pub(crate) http1_only: bool,
+    /// Only the measurements whose row contains this, such as " 1 at once gather" or "256 half"
+    #[arg(long, value_name = "WORDS", default_value = "")]
+    pub(crate) only: String,
 }
 
 fn seconds(text: &str) -> Result<f64, String> {
