Let a proxy that is cut off forget warm servers too, where the operator asks

Need: a proxy cut off from the service went on sending to a server that restarts as if it were warm.

Change: control-cut-off gives the clusters of cells a time to live for those that heed it, prolonged at each third of it; streams that ended count as taking a restarted server for warm until that has run out. control-ping sets the pings.

Off without the line: what is told is as before.

--- a/crates/control/src/ads.rs
+++ b/crates/control/src/ads.rs
@@ -232,7 +232,7 @@
     async fn run(&mut self, responses: &mpsc::Sender<Result<Out, Status>>) -> Status {
         let mut told = self.ads.hub.told();
         let mut leaving = self.ads.leaving.clone();
-        let mut view: Option<View> = told.borrow_and_update().view(self.id);
+        let mut view: Option<View> = told.borrow_and_update().view(self.id, self.node.heeds_time_to_live);
         let mut owes = true;
         loop {
             tokio::select! {
@@ -244,7 +244,7 @@
                     if changed.is_err() {
                         return Status::unavailable("the control service has ended");
                     }
-                    view = told.borrow_and_update().view(self.id);
+                    view = told.borrow_and_update().view(self.id, self.node.heeds_time_to_live);
                     owes = true;
                 }
                 request = self.requests.message() => match request {
--- a/crates/control/src/body.rs
+++ b/crates/control/src/body.rs
@@ -45,7 +45,11 @@
     let mut pieces: VecDeque<Bytes> = wire::pieces(&out.answer, out.variant, &out.identifier).into();
     let length: usize = pieces.iter().map(Bytes::len).sum();
     // What is copied behind the prefix: all of a short message, the words before the first resource of a long one.
-    let copied = if length < SHORT { pieces.len() } else { usize::from(pieces.front().is_some_and(|p| p.len() < SHORT)) };
+    let copied = if length < SHORT {
+        pieces.len()
+    } else {
+        usize::from(pieces.front().is_some_and(|p| p.len() < SHORT))
+    };
     let mut first = BytesMut::with_capacity(5 + pieces.iter().take(copied).map(Bytes::len).sum::<usize>());
     first.put_u8(0);
     // A list that is longer than four gigabytes does not fit any other bound.
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -28,10 +28,6 @@
 
 /// Streams of one connection: a proxy needs two.
 const STREAMS_A_CONNECTION: u32 = 16;
-/// A connection that does not answer a ping in this time is gone.
-const PING_ANSWER: Duration = Duration::from_secs(5);
-/// Pings are so far apart, and up to half as much more by the connection's number.
-const PINGS: Duration = Duration::from_secs(10);
 /// What is left when the program is to end has this time.
 const FAREWELL: Duration = Duration::from_secs(2);
 
@@ -58,6 +54,10 @@
     pub time_to_live: u64,
     /// The longest that a proxy stands still and then reads what was sent to it before, in microseconds.
     pub longest_pause: u64,
+    /// A proxy forgets warm servers too after this time without word, in microseconds; `None`: never.
+    pub cut_off: Option<u64>,
+    /// Time between two pings of a connection, in microseconds. One whose answer takes half of it is gone.
+    pub ping: u64,
 }
 
 /// What is told once the service listens.
@@ -84,6 +84,7 @@
                 zones: self.config.names.zones.clone(),
                 dial: self.config.pool.dial_timeout,
                 time_to_live: options.time_to_live,
+                cut_off: options.cut_off,
             },
             cold: cold::Rule {
                 from: settings.cold.from,
@@ -141,8 +142,9 @@
             info!(name: "leaving_control", instance);
             let _ = leave.send(true);
         };
-        // Not all in one moment: proxies that connect together are not to be asked together for ever.
-        let spread = Duration::from_millis(u64::from(std::process::id()) % 5000);
+        let ping = Duration::from_micros(self.options.ping);
+        // Instances that were started together do not ping together.
+        let spread = ping / 2 * (std::process::id() % 64) / 64;
         let (ended, has_ended) = tokio::sync::oneshot::channel::<()>();
         let shutdown = async move {
             stopped.await;
@@ -151,8 +153,8 @@
         let serving = Server::builder()
             .tcp_nodelay(true)
             .max_concurrent_streams(Some(STREAMS_A_CONNECTION))
-            .http2_keepalive_interval(Some(PINGS + spread))
-            .http2_keepalive_timeout(Some(PING_ANSWER))
+            .http2_keepalive_interval(Some(ping + spread))
+            .http2_keepalive_timeout(Some(ping / 2))
             .serve_with_incoming_shutdown(
                 ads,
                 TcpIncoming::from(listener).with_nodelay(Some(true)),
--- a/crates/director/src/lib.rs
+++ b/crates/director/src/lib.rs
@@ -59,16 +59,18 @@
 pub struct Turn {
     /// What all proxies are told; `None`: nothing is known yet.
     pub shared: Option<Arc<Snapshot>>,
-    /// What single streams are told beside.
+    /// What those are told beside who heed a time to live.
+    pub kept: Arc<Snapshot>,
+    /// What single streams, which do, are told in place of that.
     pub own: BTreeMap<StreamId, Arc<Snapshot>>,
     /// Whether any of it differs from the last turn's.
     pub changed: bool,
 }
 
 impl Turn {
-    /// What one stream is told; `None`: nothing yet.
-    pub fn view(&self, stream: StreamId) -> Option<Told> {
-        let own = self.own.get(&stream).cloned().unwrap_or_default();
+    /// What one stream is told, which heeds a time to live or does not; `None`: nothing yet.
+    pub fn view(&self, stream: StreamId, heeds: bool) -> Option<Told> {
+        let own = if heeds { self.own.get(&stream).unwrap_or(&self.kept).clone() } else { Arc::default() };
         Some(Told { shared: self.shared.clone()?, own })
     }
 }
@@ -95,6 +97,10 @@
     last: Turn,
     beat: u64,
     next_beat: Micros,
+    /// The clusters of cells, with the time after which a proxy that is cut off forgets them.
+    kept: Arc<Snapshot>,
+    kept_beat: u64,
+    next_kept: Micros,
     next_look: Micros,
     /// Before this, no lease is dealt out.
     quiet_until: Micros,
@@ -117,13 +123,21 @@
                 figures.instance.of,
                 loans::Times { duration: LOAN, echo: figures.times.longest_echo() },
             ),
-            proxies: Proxies::default(),
+            proxies: Proxies::new(
+                figures
+                    .frame
+                    .cut_off
+                    .map(|cut_off| figures.times.longest_pause + cut_off + figures.times.longest_request),
+            ),
             reports: Reports::default(),
             cells: Vec::new(),
             cold: BTreeMap::new(),
             last: Turn::default(),
             beat: 0,
             next_beat: 0,
+            kept: Arc::default(),
+            kept_beat: 0,
+            next_kept: if figures.frame.cut_off.is_some() { 0 } else { Micros::MAX },
             next_look: 0,
             quiet_until: now + figures.times.longest_echo() + if figures.talks { LOAN } else { 0 },
             figures,
@@ -194,7 +208,7 @@
 
     /// A stream has ended.
     pub fn ended(&mut self, now: Micros, stream: StreamId) {
-        if let Some(key) = self.proxies.ended(stream) {
+        if let Some(key) = self.proxies.ended(now, stream) {
             self.leases.stream_ended(now, &key);
         }
     }
@@ -245,7 +259,7 @@
 
     /// When the next turn is due if nothing happens before.
     pub fn due(&self) -> Micros {
-        self.next_beat.min(self.next_look)
+        self.next_beat.min(self.next_look).min(self.next_kept)
     }
 
     /// Streams that are open.
@@ -269,7 +283,7 @@
         self.next_look = now + LOOK;
         self.leases.expire(now);
         if !self.known {
-            self.next_beat = Micros::MAX;
+            (self.next_beat, self.next_kept) = (Micros::MAX, self.next_look.max(self.next_kept));
             return Turn::default();
         }
         let mut views = self.views(now);
@@ -293,20 +307,35 @@
         if deal {
             self.deal(now, &views);
         }
-        if !changed_cells && !deal {
+        let keep = self.keep(now, changed_cells);
+        if !changed_cells && !deal && !keep {
             return Turn { changed: false, ..self.last.clone() };
         }
         self.cells = cells;
-        let own = self
-            .proxies
-            .dealt()
-            .map(|(stream, dealt, beat)| (stream, Arc::new(self.builder.own(&self.cells, dealt, beat))));
+        let own = self.proxies.dealt().map(|(stream, dealt, beat)| {
+            (stream, Arc::new(self.builder.own(&self.kept, &self.cells, dealt, beat)))
+        });
         let own: BTreeMap<StreamId, Arc<Snapshot>> = own.collect();
-        let changed = changed_cells || own != self.last.own;
-        self.last = Turn { shared: Some(shared), own, changed };
+        let changed = changed_cells || keep || own != self.last.own;
+        self.last = Turn { shared: Some(shared), kept: self.kept.clone(), own, changed };
         self.last.clone()
     }
 
+    /// Prolongs what a proxy that is cut off forgets. True: it is to be told again, or for the first time.
+    fn keep(&mut self, now: Micros, changed: bool) -> bool {
+        let Some(cut_off) = self.figures.frame.cut_off else { return false };
+        if !changed && now < self.next_kept {
+            return false;
+        }
+        if now >= self.next_kept {
+            self.kept_beat += 1;
+            // Not sooner than its third: each time all proxies are told, and say that they heard.
+            self.next_kept = now + (cut_off / BEATS).max(1);
+        }
+        self.kept = Arc::new(self.builder.kept(self.kept_beat));
+        true
+    }
+
     fn views(&self, now: Micros) -> Vec<View> {
         self.core.views(now, |name| self.addresses.get(name).copied())
     }
--- a/crates/director/src/proxies.rs
+++ b/crates/director/src/proxies.rs
@@ -34,7 +34,7 @@
     opened: Micros,
     sends: bool,
     /// The last change of each cell's endpoints that it acknowledged.
-    heard: BTreeMap<usize, u64>,
+    heard: HeardOf,
     dealt: Vec<Cold>,
     beat: u64,
 }
@@ -46,9 +46,19 @@
     versions: Vec<(Version, u64)>,
 }
 
-/// All open streams.
+/// What a stream that has ended had acknowledged: the last change of each cell's endpoints.
+type HeardOf = BTreeMap<usize, u64>;
+
+/// Kinds of streams that have ended and are told apart. Beyond that, they count as one that heard the least of all.
+const MOST_GONE: usize = 256;
+
+/// All open streams, and what those that ended may still do.
 #[derive(Default)]
 pub(crate) struct Proxies {
+    /// A proxy whose stream has ended acts on what it holds for so long, where it heeds a time to live; `None`: for ever.
+    lingers: Option<Micros>,
+    /// Until when proxies whose streams have ended may act on what they had heard.
+    gone: BTreeMap<HeardOf, Micros>,
     streams: BTreeMap<StreamId, Stream>,
     by_key: BTreeMap<Proxy, StreamId>,
     changes: BTreeMap<usize, Changes>,
@@ -56,6 +66,10 @@
 }
 
 impl Proxies {
+    pub(crate) fn new(lingers: Option<Micros>) -> Proxies {
+        Proxies { lingers, ..Proxies::default() }
+    }
+
     pub(crate) fn len(&self) -> usize {
         self.streams.len()
     }
@@ -79,8 +93,18 @@
     }
 
     /// The key of its leases.
-    pub(crate) fn ended(&mut self, id: StreamId) -> Option<Proxy> {
+    pub(crate) fn ended(&mut self, now: Micros, id: StreamId) -> Option<Proxy> {
         let stream = self.streams.remove(&id)?;
+        if let Some(lingers) = self.lingers.filter(|_| stream.sends && stream.node.heeds_time_to_live) {
+            self.gone.retain(|_, until| now < *until);
+            let until = now + lingers;
+            if self.gone.len() >= MOST_GONE && !self.gone.contains_key(&stream.heard) {
+                let latest = self.gone.values().copied().max().unwrap_or(until).max(until);
+                self.gone = BTreeMap::from([(HeardOf::new(), latest)]);
+            } else {
+                self.gone.insert(stream.heard, until);
+            }
+        }
         self.by_key.remove(&stream.key);
         Some(stream.key)
     }
@@ -134,12 +158,14 @@
         }
     }
 
-    /// Whether no open stream may still act on a cell's endpoints of before this change.
+    /// Whether no stream, open or ended, may still act on a cell's endpoints of before this change.
     pub(crate) fn all_heard(&self, now: Micros, cell: usize, change: u64) -> bool {
-        self.streams.values().all(|s| {
-            let idle = !s.sends && now >= s.opened + IDLE;
-            idle || s.heard.get(&cell).is_some_and(|heard| *heard >= change)
-        })
+        let heard = |heard: &HeardOf| heard.get(&cell).is_some_and(|heard| *heard >= change);
+        self.gone.iter().all(|(gone, until)| now >= *until || heard(gone))
+            && self.streams.values().all(|s| {
+                let idle = !s.sends && now >= s.opened + IDLE;
+                idle || heard(&s.heard)
+            })
     }
 
     pub(crate) fn acked_clusters(
--- a/crates/director/tests/turns.rs
+++ b/crates/director/tests/turns.rs
@@ -40,6 +40,10 @@
 }
 
 fn instance_at(start: Micros, instance: Instance) -> Director {
+    made(start, instance, None)
+}
+
+fn made(start: Micros, instance: Instance, cut_off: Option<Micros>) -> Director {
     let none = serde_json::json!({"rev": 0, "all": true, "targets": []});
     let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
     let configuration =
@@ -51,6 +55,7 @@
         zones: config.names.zones.clone(),
         dial: 250 * MILLI,
         time_to_live: TIMES.time_to_live,
+        cut_off,
     };
     let figures = Figures { frame, cold: COLD, quorum, times: TIMES, instance, talks: instance.of > 1 };
     Director::new(start, Core::new(config.settings, 1, 1), figures)
@@ -88,15 +93,15 @@
 fn nothing_is_told_before_the_list_is_known_and_an_empty_one_is_held_back() {
     let mut director = director();
     director.opened(0, 1, node("p"));
-    assert!(director.turn(0).view(1).is_none());
+    assert!(director.turn(0).view(1, true).is_none());
     director.learn(1, ListScope::Changes, vec![server(0, NodeState::Serving, None)]);
-    assert!(director.turn(1).view(1).is_none(), "changes of what is not known");
+    assert!(director.turn(1).view(1, true).is_none(), "changes of what is not known");
     assert!(director.learn(2, ListScope::Whole, four()));
-    let view = director.turn(2).view(1).unwrap();
+    let view = director.turn(2).view(1, true).unwrap();
     assert_eq!(health(&view, "cell-0"), [HealthStatus::Healthy; 2]);
     assert!(!director.learn(3, ListScope::Whole, vec![]), "a list of none after one of four");
     assert!(!director.learn(3, ListScope::Whole, vec![server(0, NodeState::Gone, None)]));
-    assert_eq!(health(&director.turn(3).view(1).unwrap(), "cell-0"), [HealthStatus::Healthy; 2]);
+    assert_eq!(health(&director.turn(3).view(1, true).unwrap(), "cell-0"), [HealthStatus::Healthy; 2]);
 }
 
 #[test]
@@ -108,15 +113,15 @@
     director.learn(2, ListScope::Changes, vec![server(0, NodeState::Draining, None)]);
     let after = director.turn(2);
     assert!(after.changed);
-    let view = after.view(1).unwrap();
+    let view = after.view(1, true).unwrap();
     assert_eq!(health(&view, "cell-0"), [HealthStatus::Draining, HealthStatus::Healthy]);
     let of = |turn: &plover_director::Turn, name: &str| {
-        turn.view(1).unwrap().get(Kind::Endpoints, name).unwrap().clone()
+        turn.view(1, true).unwrap().get(Kind::Endpoints, name).unwrap().clone()
     };
     assert!(std::sync::Arc::ptr_eq(&of(&before, "cell-1"), &of(&after, "cell-1")), "it was encoded again");
     assert_eq!(director.encoded(), 4 + 2);
     director.learn(3, ListScope::Changes, vec![server(0, NodeState::Gone, None)]);
-    assert_eq!(health(&director.turn(3).view(1).unwrap(), "cell-0"), [HealthStatus::Healthy]);
+    assert_eq!(health(&director.turn(3).view(1, true).unwrap(), "cell-0"), [HealthStatus::Healthy]);
 }
 
 fn load(n: usize, served: u64, failed: u64) -> ClusterLoad {
@@ -134,7 +139,7 @@
     director.report(SECOND, "p1", &[load(0, 1, 500)]);
     director.report(SECOND, "p2", &[load(0, 50, 0)]);
     director.report(SECOND, "p3", &[load(0, 50, 0)]);
-    let told = |director: &mut Director, now| health(&director.turn(now).view(1).unwrap(), "cell-0");
+    let told = |director: &mut Director, now| health(&director.turn(now).view(1, true).unwrap(), "cell-0");
     assert_eq!(told(&mut director, SECOND), [HealthStatus::Healthy; 2]);
     director.report(2 * SECOND, "p2", &[load(0, 1, 50)]);
     assert_eq!(told(&mut director, 2 * SECOND), [HealthStatus::Unhealthy, HealthStatus::Healthy]);
@@ -291,7 +296,7 @@
                 Step::Turn => {
                     let turn = director.turn(now);
                     for proxy in &mut proxies {
-                        if let Some(view) = turn.view(proxy.id) {
+                        if let Some(view) = turn.view(proxy.id, true) {
                             proxy.receive(now, &view);
                         }
                     }
@@ -347,7 +352,7 @@
         let now = started + tenth * SECOND / 10;
         let turn = director.turn(now);
         for proxy in &mut proxies {
-            proxy.receive(now, &turn.view(proxy.id).unwrap());
+            proxy.receive(now, &turn.view(proxy.id, true).unwrap());
             while !proxy.inbox.is_empty() {
                 proxy.read(&mut director, now);
             }
@@ -382,7 +387,7 @@
             }
         }
         for proxy in &mut proxies {
-            proxy.receive(now, &turns[0].view(proxy.id).unwrap());
+            proxy.receive(now, &turns[0].view(proxy.id, true).unwrap());
             while !proxy.inbox.is_empty() {
                 proxy.read(&mut both[0], now);
             }
@@ -413,7 +418,7 @@
 fn turn(director: &mut Director, proxies: &mut [Proxy], now: Micros) {
     let turn = director.turn(now);
     for proxy in proxies {
-        proxy.receive(now, &turn.view(proxy.id).unwrap());
+        proxy.receive(now, &turn.view(proxy.id, true).unwrap());
     }
 }
 
@@ -484,3 +489,65 @@
     director.turn(now + 6 * SECOND);
     assert_eq!(director.leased(&s0()), 0);
 }
+
+const CUT_OFF: Micros = 6 * SECOND;
+
+/// Where a proxy that is cut off is to stop, its clusters have a time to live, prolonged in time though nothing changes; one
+/// that heeds none is told them without.
+#[test]
+fn what_a_cut_off_proxy_forgets_is_prolonged_in_time() {
+    let mut director = made(0, Instance { number: 0, of: 1 }, Some(CUT_OFF));
+    director.learn(0, ListScope::Whole, four());
+    director.opened(0, 1, node("p"));
+    let (mut now, mut prolonged, mut last) = (0, 0, None);
+    while now < 10 * CUT_OFF {
+        let turn = director.turn(now);
+        let told = |heeds| turn.view(1, heeds).unwrap().get(Kind::Cluster, "cell-0").unwrap().clone();
+        assert_eq!((told(true).ttl_ms, told(false).ttl_ms), (Some(CUT_OFF / MILLI), None));
+        assert_eq!(told(true).version, told(false).version);
+        if last.is_some_and(|(beat, _)| beat != told(true).beat) {
+            assert!(turn.changed && now - prolonged <= CUT_OFF / 2, "{now}: too late");
+            prolonged = now;
+        }
+        last = Some((told(true).beat, now));
+        now = director.due().max(now + MILLI);
+    }
+    assert!(now - prolonged <= CUT_OFF / 2);
+}
+
+/// A proxy that lost its stream sends by what it last heard until it forgets that: until then nothing comes on top at a server
+/// that restarted meanwhile. One that had heard of the restart is no hindrance.
+#[test]
+fn nothing_is_leased_while_a_proxy_without_stream_may_take_the_server_for_warm() {
+    let mut director = made(0, Instance { number: 0, of: 1 }, Some(CUT_OFF));
+    let mut servers = four();
+    director.learn(0, ListScope::Whole, servers.clone());
+    let mut proxies: Vec<Proxy> = (1..=2).map(|id| Proxy::open(&mut director, 0, id, None)).collect();
+    turn(&mut director, &mut proxies, 0);
+    proxies.iter_mut().for_each(|p| p.read_all(&mut director, 0));
+    let now = 20 * SECOND;
+    director.ended(now, proxies.remove(0).id);
+    servers[0] = server(0, NodeState::Serving, Some(now as i64));
+    director.learn(now, ListScope::Whole, servers);
+    let until = now + TIMES.longest_pause + CUT_OFF + TIMES.longest_request;
+    let mut at = now;
+    while at < until + 3 * SECOND {
+        turn(&mut director, &mut proxies, at);
+        proxies[0].read_all(&mut director, at);
+        assert!(
+            at >= until || director.leased(&s0()) == 0,
+            "{at}: leased beside one that may take it for warm"
+        );
+        at += SECOND / 2;
+    }
+    // It is warm by then in any case, or leased; a server that restarts now has been heard of by all that is left.
+    let again = until + 3 * SECOND;
+    let mut servers = four();
+    servers[0] = server(0, NodeState::Serving, Some(again as i64));
+    director.learn(again, ListScope::Whole, servers);
+    for step in 0..6 {
+        turn(&mut director, &mut proxies, again + step * SECOND);
+        proxies[0].read_all(&mut director, again + step * SECOND);
+    }
+    assert!(director.leased(&s0()) > 0);
+}
--- a/crates/operator-file/src/keywords.rs
+++ b/crates/operator-file/src/keywords.rs
@@ -143,6 +143,20 @@
         Effect::Restart,
         CONTROL,
     ),
+    keyword(
+        "control-cut-off",
+        "never, or a time, 1s to 10min",
+        "a proxy without word forgets warm servers too after it",
+        Effect::Restart,
+        CONTROL,
+    ),
+    keyword(
+        "control-ping",
+        "a time, 100ms to 10min",
+        "time between the pings that find half-open connections",
+        Effect::Restart,
+        CONTROL,
+    ),
 ];
 
 /// The keyword of this name.
--- a/crates/operator-file/src/settings.rs
+++ b/crates/operator-file/src/settings.rs
@@ -77,6 +77,10 @@
     pub time_to_live: Micros,
     /// The longest that a proxy stands still and then goes on.
     pub longest_pause: Micros,
+    /// A proxy without word forgets warm servers too after it; `None`: it keeps them.
+    pub cut_off: Option<Micros>,
+    /// Time between pings.
+    pub ping: Micros,
 }
 
 /// What a file sets; the default is what holds without one.
@@ -262,6 +266,11 @@
         let work = self.value("control-request-work", |w| values::span(w, &(MILLI..=10 * SECOND)));
         let time_to_live = self.value("control-time-to-live", |w| values::span(w, &(SECOND..=60 * SECOND)));
         let pause = self.value("control-longest-pause", |w| values::span(w, &(0..=60 * SECOND)));
+        let cut_off = self.value("control-cut-off", |w| match w {
+            "never" => Ok(None),
+            w => values::span(w, &(SECOND..=600 * SECOND)).map(Some),
+        });
+        let ping = self.value("control-ping", |w| values::span(w, &(100 * MILLI..=600 * SECOND)));
         if let Some((_, word)) = self.taken.get("control-instance").cloned().filter(|_| instance >= instances)
         {
             let what = format!("there is no instance {instance}: they are counted from 0");
@@ -278,6 +287,8 @@
             request_work: work.unwrap_or(126 * MILLI),
             time_to_live: time_to_live.unwrap_or(2 * SECOND),
             longest_pause: pause.unwrap_or(10 * SECOND),
+            cut_off: cut_off.flatten(),
+            ping: ping.unwrap_or(10 * SECOND),
         })
     }
 
--- a/crates/operator-file/tests/files.rs
+++ b/crates/operator-file/tests/files.rs
@@ -23,6 +23,8 @@
 control-request-work 90ms
 control-time-to-live 3s
 control-longest-pause 5s
+control-cut-off 20s
+control-ping 4s
 ";
 
 fn faults(text: &str) -> Vec<String> {
@@ -45,6 +47,9 @@
     assert_eq!((control.instances, control.instance, control.cores), (3, 2, 4));
     assert_eq!((control.request_work, control.time_to_live), (90_000, 3_000_000));
     assert_eq!((control.longest_pause, control.peers.len()), (5_000_000, 2));
+    assert_eq!((control.cut_off, control.ping), (Some(20_000_000), 4_000_000));
+    let never = read("f", "control-listen [::1]:1\ncontrol-cut-off never\n").unwrap().control.unwrap();
+    assert_eq!((never.cut_off, never.ping), (None, 10_000_000));
     let three = faults("control-listen [::1]:1\ncontrol-instances 3\ncontrol-instance 3\ncontrol-name a/b\n");
     assert_eq!(three.len(), 2, "{three:?}");
     assert!(three[0].contains("control-instances, 3") && three[1].contains("letters"), "{three:?}");
--- a/crates/ploverport/src/control/mod.rs
+++ b/crates/ploverport/src/control/mod.rs
@@ -40,6 +40,8 @@
         request_work: control.request_work,
         time_to_live: control.time_to_live,
         longest_pause: control.longest_pause,
+        cut_off: control.cut_off,
+        ping: control.ping,
     })
 }
 
--- a/crates/ploverport/tests/control/streams.rs
+++ b/crates/ploverport/tests/control/streams.rs
@@ -297,3 +297,70 @@
         assert!(proxy.state(|s| is_healthy(s, &entries[99])));
     });
 }
+
+/// Where that is asked for, a proxy that hears nothing forgets warm servers as well, and has them back when it hears again;
+/// as long as it hears, it keeps them though nothing changes. One that heeds no time to live keeps them always.
+#[test]
+fn a_proxy_that_is_cut_off_forgets_all_where_it_is_told_to() {
+    let rig = rig_with(&four(), "control-cut-off 1s\n");
+    rig.run(async {
+        let mut open = Vec::new();
+        for variant in [Variant::Sotw, Variant::Delta] {
+            let proxy = rig.connect(usual("p", variant, Style::Envoy), State::default()).await;
+            assert!(proxy.until(BOUND, is_whole).await);
+            open.push(proxy);
+        }
+        let grpc = rig.connect(usual("grpc", Variant::Sotw, Style::Grpc), State::default()).await;
+        assert!(grpc.until(BOUND, is_whole).await);
+        let clusters = |s: &State| s.kind(Kind::Cluster).count();
+        for proxy in &open {
+            let times = proxy.state(|s| s.updates.len());
+            // Three times prolonged: more than a time to live has passed.
+            assert!(proxy.until(BOUND, |s| s.updates.len() >= times + 3).await);
+            assert_eq!(proxy.state(clusters), 2);
+        }
+        rig.program.signal("STOP").unwrap();
+        let mut forgot = true;
+        for proxy in &open {
+            forgot &= proxy.until(BOUND, |s| clusters(s) == 0).await;
+        }
+        rig.program.signal("CONT").unwrap();
+        assert!(forgot);
+        for proxy in &open {
+            assert!(proxy.until(BOUND, |s| clusters(s) == 2).await);
+        }
+        assert_eq!(grpc.state(clusters), 2);
+    });
+}
+
+/// A connection whose other end is gone without a word, as when a machine loses its power, does not count for ever.
+#[test]
+fn a_half_open_stream_ends_by_its_pings() {
+    use envoy_types::pb::envoy::config::core::v3::Node;
+    use envoy_types::pb::envoy::service::discovery::v3::DiscoveryRequest;
+    use plover_load::raw::{DATA, END_HEADERS, HEADERS, Raw, frame, query_fields};
+    use prost::Message;
+    let mut rig = rig_with(&four(), "control-ping 2s\n");
+    let mut gone = Raw::settled(rig.listen);
+    let path = "/envoy.service.discovery.v3.AggregatedDiscoveryService/StreamAggregatedResources";
+    let head = query_fields("", &[(":path", path), ("content-type", "application/grpc"), ("te", "trailers")]);
+    let node = Some(Node { id: "gone".to_owned(), ..Node::default() });
+    let asked =
+        DiscoveryRequest { node, type_url: Kind::Cluster.type_url().to_owned(), ..Default::default() };
+    let asked = asked.encode_to_vec();
+    let message = [&[0][..], &(asked.len() as u32).to_be_bytes(), &asked].concat();
+    gone.send(&[frame(HEADERS, END_HEADERS, 1, &head), frame(DATA, 0, 1, &message)].concat());
+    let line = rig.program.logged("event=xds_opened").unwrap();
+    assert!(line.contains("node=gone"), "{line}");
+    let usual_one = rig.run(async {
+        let usual_one = rig.connect(usual("p", Variant::Delta, Style::Envoy), State::default()).await;
+        assert!(usual_one.until(BOUND, is_whole).await);
+        usual_one
+    });
+    let line = rig.program.logged("event=xds_closed").unwrap();
+    assert!(line.contains("node=gone"), "{line}");
+    let entry = Entry { state: "leaving", ..four()[0] };
+    rig.list.set(&[entry]);
+    let told = usual_one.until(BOUND, |s| !is_healthy(s, &entry));
+    assert!(rig.run(told), "it answered its pings, and stays");
+}
--- a/crates/xds-resources/src/lib.rs
+++ b/crates/xds-resources/src/lib.rs
@@ -32,6 +32,8 @@
     pub dial: Micros,
     /// A proxy forgets a cold server after this time without word.
     pub time_to_live: Micros,
+    /// It forgets all others too after this time without word; `None`: it keeps them.
+    pub cut_off: Option<Micros>,
 }
 
 /// The header whose value names the cell, where there are several.
@@ -41,6 +43,9 @@
 /// The subset key of a row.
 pub(crate) const ROW_KEY: &str = "row";
 
+/// Marks the beats of clusters that are told to all.
+const KEPT: u64 = 1 << 63;
+
 /// Name of a cell's cluster.
 pub fn cell_name(cell: usize) -> String {
     format!("cell-{cell}")
@@ -146,10 +151,25 @@
         Resource { needs: needs.into_iter().map(Into::into).collect(), ..made }
     }
 
-    /// What the holder of leases is told beside: a cluster for each of its cold servers, with a time to live, and a route
-    /// that sends a little there. `beat` differs each time that the leases were prolonged.
-    pub fn own(&self, cells: &[Cell], cold: &[Cold], beat: u64) -> Snapshot {
+    /// What all are told beside who heed a resource's time to live, where a proxy that is cut off is to stop: the cells'
+    /// clusters with that time. They are short; the endpoints need not be sent again for it.
+    pub fn kept(&self, beat: u64) -> Snapshot {
         let mut snapshot = Snapshot::default();
+        if let Some(cut_off) = self.frame.cut_off {
+            for (_, cluster, _) in self.cells.values() {
+                // A number of its own kind: an acknowledgement of it is none of a lease.
+                let beat = KEPT | beat;
+                let kept = Resource { beat, ttl_ms: Some(cut_off / MILLI), ..(**cluster).clone() };
+                snapshot.insert(Kind::Cluster, Arc::new(kept));
+            }
+        }
+        snapshot
+    }
+
+    /// What the holder of leases is told beside that: a cluster for each of its cold servers, with a time to live, and a route
+    /// that sends a little there. `beat` differs each time that the leases were prolonged.
+    pub fn own(&self, kept: &Snapshot, cells: &[Cell], cold: &[Cold], beat: u64) -> Snapshot {
+        let mut snapshot = kept.clone();
         if cold.is_empty() {
             return snapshot;
         }
