Name the clusters to load reporters that do not know "all"

Cause: lrs.proto has send_all_clusters heeded only by clients that advertise it; others would report nothing.

Change: they are told the names of the clusters that there are.

Result: the reports' tests pass; clients that advertise it are told as before.

--- a/crates/control/src/lrs.rs
+++ b/crates/control/src/lrs.rs
@@ -10,6 +10,7 @@
 use envoy_types::pb::google::protobuf::Duration;
 use plover_director::{ClusterLoad, EndpointLoad};
 use plover_model::time::{Micros, SECOND};
+use plover_xds::Kind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::sync::{mpsc, watch};
@@ -23,6 +24,9 @@
 /// What one report may hold of: more than a proxy's share of all that there can be.
 const MOST_ENDPOINTS: usize = 20_000;
 
+/// What a client says that reports all its clusters without their names (`envoy/service/load_stats/v3/lrs.proto`).
+const KNOWS_ALL: &str = "envoy.lrs.supports_send_all_clusters";
+
 /// The service.
 pub(crate) struct Lrs {
     pub(crate) hub: Hub,
@@ -106,11 +110,18 @@
             Err(error) => return debug!(name: "lrs_unread", from, error = %error.message()),
         };
         let first = node.is_none();
-        let id = request.node.map(|n| n.id).filter(|id| !id.is_empty());
+        let (id, features) = request.node.map(|n| (n.id, n.client_features)).unwrap_or_default();
+        let id = Some(id).filter(|id| !id.is_empty());
         let name: Arc<str> = node.get_or_insert_with(|| id.unwrap_or_else(|| from.clone()).into()).clone();
         if first {
             info!(name: "lrs_opened", node = %name, from);
+            // Clients that do not know "all" are told the names that there are now (lrs.proto, LoadStatsResponse).
+            let knows_all = features.iter().any(|f| f == KNOWS_ALL);
+            let clusters = hub.told().borrow().shared.as_ref().map_or_else(Vec::new, |shared| {
+                shared.kind(Kind::Cluster).keys().map(|name| name.to_string()).collect()
+            });
             let response = LoadStatsResponse {
+                clusters: if knows_all { Vec::new() } else { clusters },
                 send_all_clusters: true,
                 load_reporting_interval: Some(interval(&name)),
                 report_endpoint_granularity: true,
