--- a/crates/control/src/lrs.rs
+++ b/crates/control/src/lrs.rs
@@ -125,7 +125,6 @@
                 send_all_clusters: true,
                 load_reporting_interval: Some(interval(&name)),
                 report_endpoint_granularity: true,
-                ..LoadStatsResponse::default()
             };
             if responses.send(Ok(response)).await.is_err() {
                 return;
