--- a/crates/broker/src/front/mod.rs
+++ b/crates/broker/src/front/mod.rs
@@ -20,10 +20,12 @@
 use plover_admission::{Connection, budget};
 use plover_model::query::Names;
 use plover_query::{Response, Routed, date, route};
+use plover_routes::Routes;
 use plover_runtime::clock::Clock;
 use std::cell::{Cell, RefCell};
 use std::net::TcpListener;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
 /// Where the program is in its life.
@@ -42,6 +44,8 @@
     inbox: Rc<Inbox>,
     settings: Settings,
     names: Names,
+    /// What the operator sets for queries that come from now on.
+    routes: RefCell<Arc<Routes>>,
     stage: Cell<Stage>,
     /// Closed, and replaced, when the stage changes.
     moved: RefCell<(Sender<()>, Receiver<()>)>,
@@ -52,11 +56,12 @@
 
 impl Shared {
     /// For a program that serves.
-    pub fn new(inbox: Rc<Inbox>, settings: Settings, names: Names) -> Rc<Self> {
+    pub fn new(inbox: Rc<Inbox>, settings: Settings, names: Names, routes: Arc<Routes>) -> Rc<Self> {
+        let routes = RefCell::new(routes);
         let date = RefCell::new((Instant::now(), date(SystemTime::now())));
         let (stage, connections) = (Cell::new(Stage::Serving), Cell::new(0));
         let moved = RefCell::new(async_channel::bounded(1));
-        Rc::new(Shared { inbox, settings, names, stage, moved, connections, date })
+        Rc::new(Shared { inbox, settings, names, routes, stage, moved, connections, date })
     }
 
     fn stage(&self) -> Stage {
@@ -81,7 +86,8 @@
     }
 
     fn route(&self, request: &http::Request<Vec<u8>>) -> Routed {
-        route(request, self.stage() == Stage::Serving, &self.names, &self.settings)
+        let routes = self.routes.borrow();
+        route(request, self.stage() == Stage::Serving, &self.names, &self.settings, &routes)
     }
 
     /// With the time at which the answer is made (RFC 9110, section 6.6.1).
@@ -154,6 +160,11 @@
         }
     }
 
+    /// Takes other routes, for queries that come from now on.
+    pub fn set_routes(&self, routes: Arc<Routes>) {
+        *self.shared.routes.borrow_mut() = routes;
+    }
+
     /// The program is to end: what still comes is served.
     pub fn leave(&self) {
         self.shared.set_stage(Stage::Leaving);
@@ -199,7 +210,7 @@
         let settings: serde_json::Value =
             serde_json::from_str(include_str!("../../../model/tests/settings.json")).unwrap();
         let site = decode(&Message::new("settings", settings.as_object().unwrap())).unwrap();
-        let shared = Shared::new(Rc::default(), site.settings, Names::default());
+        let shared = Shared::new(Rc::default(), site.settings, Names::default(), Arc::default());
         let executor = Rc::new(LocalExecutor::new());
         let front = Rc::new(Http1::new(shared, 2));
         let seats: Rc<Seats> = accept::Serve::seats(&*front).clone();
--- a/crates/broker/src/operator.rs
+++ b/crates/broker/src/operator.rs
@@ -1,21 +1,62 @@
 //! The operator's own file, as the running program holds it.
 
+use brookbend::api::Semantics;
 use plover_admission::budget::Asked;
-use plover_model::time::Micros;
-use plover_operator_file::{LONGEST, LogFormat, LogLevel, Settings, read};
+use plover_config::Config;
+use plover_model::time::{Micros, millis};
+use plover_operator_file::{Faults, LONGEST, LogFormat, LogLevel, Settings, read};
 use plover_pacing::Pacing;
+use plover_routes::Routes;
+use plover_rules::{Breach, ClassFacts, Platform};
 use plover_telemetry::Format;
 use std::io::Read;
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 use tracing::{Level, info, warn};
 
 /// The file, if there is one, and what it sets.
 #[derive(Clone, Debug, Default)]
 pub struct Operator {
     path: Option<PathBuf>,
+    platform: Option<Platform>,
     settings: Settings,
 }
 
+/// What the platform's rules need to know of a configuration.
+pub fn platform(config: &Config) -> Platform {
+    let classes = config.settings.classes.iter().zip(&config.names.classes).map(|(class, name)| ClassFacts {
+        name: name.clone(),
+        give_up: millis(class.give_up),
+        window: match class.semantics {
+            Semantics::Keyed { window } => Some(millis(window)),
+            Semantics::Safe => None,
+            // A part that may have run must not be repeated at all.
+            Semantics::Unsafe => Some(0),
+        },
+    });
+    Platform {
+        classes: classes.collect(),
+        tenants: config.names.tenants.clone(),
+        most_attempts: config.settings.max_attempts,
+        tick: millis(config.settings.tick),
+        dial: config.pool.dial_timeout,
+    }
+}
+
+/// Reads a file's text, and holds it against the platform's rules where these are known.
+pub fn read_checked(name: &str, text: &str, platform: Option<&Platform>) -> Result<Settings, Faults> {
+    let settings = read(name, text)?;
+    let breaches = platform.map_or_else(Vec::new, |platform| plover_rules::check(&settings.table, platform));
+    if breaches.is_empty() {
+        return Ok(settings);
+    }
+    let fault = |b: Breach| {
+        let what = format!("{} (rule: {}; from {})", b.what, b.rule, b.rule.source());
+        (b.at.span, what, b.holds)
+    };
+    Err(Faults::found(name, text, breaches.into_iter().map(fault)))
+}
+
 /// Reads a file's text, as far as the longest that is taken. The error names the file.
 pub fn read_text(path: &Path) -> Result<String, String> {
     let failed = |e: std::io::Error| format!("{}: cannot be read: {e}", path.display());
@@ -29,27 +70,30 @@
 
 impl Operator {
     /// Reads the file at a start; without one, all is as the platform's configuration has it.
-    pub fn load(path: Option<PathBuf>) -> Result<Self, String> {
+    /// With the platform's rules, what breaks one of them is refused, here and whenever it is read again.
+    pub fn load(path: Option<PathBuf>, platform: Option<Platform>) -> Result<Self, String> {
         let settings = match &path {
-            Some(path) => Self::parse(path)?,
+            Some(path) => Self::parse(path, platform.as_ref())?,
             None => Settings::default(),
         };
-        Ok(Operator { path, settings })
+        Ok(Operator { path, platform, settings })
     }
 
     /// Takes settings that stand in no file; reading it again changes nothing.
     pub fn of_text(name: &str, text: &str) -> Result<Self, String> {
         let settings = read(name, text).map_err(|faults| faults.to_string())?;
-        Ok(Operator { path: None, settings })
+        Ok(Operator { path: None, platform: None, settings })
     }
 
-    fn parse(path: &Path) -> Result<Settings, String> {
-        read(&path.display().to_string(), &read_text(path)?).map_err(|faults| faults.to_string())
+    fn parse(path: &Path, platform: Option<&Platform>) -> Result<Settings, String> {
+        let name = path.display().to_string();
+        read_checked(&name, &read_text(path)?, platform).map_err(|faults| faults.to_string())
     }
 
     /// Reads the file again, whole or not at all: nothing is changed by this.
     pub fn reread(&self) -> Result<Settings, String> {
-        self.path.as_deref().map_or_else(|| Ok(self.settings.clone()), Self::parse)
+        let parse = |path| Self::parse(path, self.platform.as_ref());
+        self.path.as_deref().map_or_else(|| Ok(self.settings.clone()), parse)
     }
 
     /// The same without a word or an effect, to see what would hold.
@@ -75,6 +119,11 @@
         &self.settings
     }
 
+    /// What is set for queries, where the classes have these names.
+    pub fn routes(&self, classes: &[String]) -> Arc<Routes> {
+        Arc::new(self.settings.table.compile(classes))
+    }
+
     /// Puts the log's form and level into effect.
     pub fn set_log(&self) {
         let log = self.settings.log;
--- a/crates/broker/src/queries.rs
+++ b/crates/broker/src/queries.rs
@@ -5,6 +5,7 @@
 use brookbend::api::{Semantics, Settings};
 use plover_admission::{Connection, Shares};
 use plover_core::{Dispatch, Query};
+use plover_limits::{Gate, Permit};
 use plover_model::query::{Ask, AttemptId, QueryId, Reply};
 use plover_model::server::Outcome;
 use plover_model::time::{Micros, millis};
@@ -21,6 +22,7 @@
 /// A query in hand. Dropping it drops the way to its client, so it is dropped with its one reply.
 struct Pending {
     connection: Connection,
+    permit: Permit,
     ask: Ask,
     reply: Sender<Reply>,
     /// The value of each part that is in.
@@ -55,6 +57,7 @@
     ids: BTreeSet<Rc<str>>,
     shares: Shares,
     repeats: Repeats,
+    gate: Gate,
     /// Attempts that are out under a key.
     keyed: BTreeMap<AttemptId, (Rc<str>, usize)>,
     max_retry_after: Option<Micros>,
@@ -62,7 +65,7 @@
 
 impl Queries {
     /// With room for so many queries and parts.
-    pub(crate) fn new(settings: &Settings, room: usize) -> Self {
+    pub(crate) fn new(settings: &Settings, room: usize, seed: u64) -> Self {
         let window = settings.classes.iter().filter_map(|c| match c.semantics {
             Semantics::Keyed { window } => Some(millis(window)),
             _ => None,
@@ -73,6 +76,7 @@
             ids: BTreeSet::new(),
             shares: Shares::new(room),
             repeats: Repeats::new(window.min().unwrap_or(NO_WINDOW), keep.unwrap_or(0), KEYS),
+            gate: Gate::new(seed),
             keyed: BTreeMap::new(),
             max_retry_after: settings.max_retry_after.map(millis),
         }
@@ -111,12 +115,22 @@
             info!(name: "share_full", connection, held = self.shares.held());
             return answered(Reply::Refused { retry_after: self.max_retry_after });
         }
+        let mut permit = match self.gate.take(now, &ask.limits, ask.tenant) {
+            Ok(permit) => permit,
+            Err(refused) => {
+                self.shares.give_back(connection, units);
+                info!(name: "limit_reached", limit = refused.limit, section = %refused.owner, tenant = ask.tenant);
+                let retry_after = self.max_retry_after.map(|most| most.min(refused.wait));
+                return answered(Reply::Refused { retry_after });
+            }
+        };
         let give_up_at = now + ask.patience;
         if let Some(key) = &ask.key {
             let shards = ask.parts.iter().map(|p| p.shard);
             let verdict = self.repeats.open(now, key, shards, give_up_at);
             if verdict != Verdict::Serve {
                 self.shares.give_back(connection, units);
+                self.gate.give_back(std::mem::take(&mut permit));
                 info!(name: "key_repeated", connection, id = %ask.id, verdict = ?verdict);
             }
             match verdict {
@@ -135,6 +149,7 @@
             class: ask.class,
             tenant: ask.tenant,
             give_up_at,
+            limits: ask.limits.clone(),
             again: ask.again,
             parts: ask.parts.clone(),
         };
@@ -142,7 +157,7 @@
         span.in_scope(|| debug!(name: "query_taken", class = ask.class, parts = ask.parts.len()));
         self.ids.insert(ask.id.clone());
         let values = vec![None; ask.parts.len()];
-        self.pending.insert(id, Pending { connection, ask, reply, values, span });
+        self.pending.insert(id, Pending { connection, permit, ask, reply, values, span });
         Some(query)
     }
 
@@ -167,7 +182,8 @@
 
     /// The one place where a query is given back.
     fn close(&mut self, now: Micros, query: QueryId, answered: bool) -> Option<Pending> {
-        let pending = self.pending.remove(&query)?;
+        let mut pending = self.pending.remove(&query)?;
+        self.gate.give_back(std::mem::take(&mut pending.permit));
         self.ids.remove(&pending.ask.id);
         self.shares.give_back(pending.connection, pending.units());
         if let Some(key) = &pending.ask.key {
--- a/crates/broker/src/turns.rs
+++ b/crates/broker/src/turns.rs
@@ -32,6 +32,7 @@
 pub struct Broker {
     clock: Clock,
     zones: Vec<String>,
+    classes: Vec<String>,
     tick: Micros,
     pacing: Pacing,
     operator: Operator,
@@ -88,18 +89,24 @@
             }
         })
         .detach();
-    let shared = Shared::new(inbox.clone(), config.settings.clone(), config.names.clone());
+    let shared = Shared::new(
+        inbox.clone(),
+        config.settings.clone(),
+        config.names.clone(),
+        operator.routes(&config.names.classes),
+    );
     let plan = Plan { http1: listener, http2, limits };
     let rev = config.known.rev;
     let tick = millis(config.settings.tick);
     let mut broker = Broker {
         clock,
         zones: config.names.zones,
+        classes: config.names.classes,
         tick,
         pacing: operator.pacing(tick),
         operator,
         clients: config.clients,
-        queries: Queries::new(&config.settings, config.max_open),
+        queries: Queries::new(&config.settings, config.max_open, config.seed),
         core: Core::new(config.settings, config.max_open, config.seed),
         upstream: Upstream::new(executor.clone(), inbox.clone(), config.pool),
         discovery: Discovery::start(executor.clone(), list, config.discovery, Some(rev)),
@@ -240,6 +247,7 @@
                 self.operator.adopt(&settings);
                 self.pacing = self.operator.pacing(self.tick);
                 self.fronts.set_limits(limits);
+                self.fronts.set_routes(self.operator.routes(&self.classes));
                 info!(name: "reloaded", discovery = %discovery);
                 self.discovery.move_to(discovery);
             }
--- a/crates/brookbend/src/api.rs
+++ b/crates/brookbend/src/api.rs
@@ -199,8 +199,12 @@
     pub class: ClassIndex,
     /// Its tenant.
     pub tenant: TenantIndex,
-    /// When the client gives up this try.
+    /// When this try is over: its client gives up, or the site wants it to end before.
     pub give_up_at: Ms,
+    /// When the client gives up this try.
+    pub patience_ends: Ms,
+    /// Most attempts at a part, where that is less than the settings' figure.
+    pub max_attempts: Option<u32>,
     /// Whether the client marks it as a repeat.
     pub again: bool,
 }
--- a/crates/brookbend/src/bin/brookbend-adapter.rs
+++ b/crates/brookbend/src/bin/brookbend-adapter.rs
@@ -47,6 +47,8 @@
             class: ClassIndex(class),
             tenant: TenantIndex(m.opt_whole("Team")?.unwrap_or(0) as usize),
             give_up_at: m.number("GiveUpAt")?,
+            patience_ends: m.number("GiveUpAt")?,
+            max_attempts: None,
             again: m.flag("AgainByClient")?,
         }));
     }
--- a/crates/brookbend/src/choice.rs
+++ b/crates/brookbend/src/choice.rs
@@ -266,6 +266,7 @@
             group: q.group,
             arrived: self.now,
             give_up_at: q.give_up_at,
+            max_attempts: q.max_attempts.unwrap_or(u32::MAX).min(self.set.max_attempts),
             ..Default::default()
         };
         self.desk.queries.insert(q.id, held);
@@ -275,7 +276,7 @@
     /// is a repeat that ends with it. Else a retry storm fills the fleet with answers past their aim.
     /// Unmarked, it is believed only where a usual patience shows; hurts where patience differs by client.
     fn first_asked(&mut self, class: usize, q: &Query) -> Ms {
-        let left = q.give_up_at - self.now;
+        let left = q.patience_ends - self.now;
         let p = &mut self.learned[class].patience;
         let same = (left - p.usual).abs() <= (1.0 - PATIENCE_SAME) * p.usual;
         p.votes = (p.votes + if same { 1.0 } else { -PATIENCE_SHARE }).min(PATIENCE_VOTES * 2.0);
@@ -285,7 +286,7 @@
         let usual = q.again || (!self.set.marks_again && p.votes >= PATIENCE_VOTES);
         let shortened = left < p.usual * PATIENCE_SAME;
         if usual && shortened {
-            (q.give_up_at - self.set.classes[class].give_up).min(self.now)
+            (q.patience_ends - self.set.classes[class].give_up).min(self.now)
         } else {
             self.now
         }
@@ -453,7 +454,7 @@
     /// Sends a part's first attempt, a retry of a failed one, or a second copy of an overdue one.
     fn run_piece(&mut self, q: &mut Held, i: usize) {
         let piece = &q.pieces[i];
-        if piece.served || piece.tries.len() as u32 >= self.set.max_attempts {
+        if piece.served || piece.tries.len() as u32 >= q.max_attempts {
             return;
         }
         if piece.tries.is_empty() {
@@ -604,7 +605,7 @@
         };
         let have = sum(&|p| p.served);
         let spoiled = self.spoiled(q);
-        let possible = sum(&|p| p.served || self.alive(p, spoiled));
+        let possible = sum(&|p| p.served || self.alive(q, p, spoiled));
         let second = q.first_whole.is_some();
         let whole = if second { step.iter().all(|p| p.served) } else { have + ROUNDING >= class.need };
         if !step.is_empty() && whole {
@@ -633,8 +634,8 @@
     }
 
     /// Whether a part that is not in may still come.
-    fn alive(&self, p: &Piece, spoiled: bool) -> bool {
-        let left = (p.tries.len() as u32) < self.set.max_attempts && (p.tries.is_empty() || !spoiled);
+    fn alive(&self, q: &Held, p: &Piece, spoiled: bool) -> bool {
+        let left = (p.tries.len() as u32) < q.max_attempts && (p.tries.is_empty() || !spoiled);
         p.tries.iter().any(|t| t.outcome.is_none()) || (left && !self.fleet.rows.of(p.shard).is_empty())
     }
 
--- a/crates/brookbend/src/lib.rs
+++ b/crates/brookbend/src/lib.rs
@@ -35,7 +35,7 @@
 //! let actions = aggregator.on_batch(5.0, vec![
 //!     Event::Query(Query {
 //!         id: query.clone(), group: 1, class: ClassIndex(0), tenant: TenantIndex(0),
-//!         give_up_at: 4005.0, again: false,
+//!         give_up_at: 4005.0, patience_ends: 4005.0, max_attempts: None, again: false,
 //!     }),
 //!     Event::Part(Part { id: part.clone(), group: 1, shard: 0, weight: 1.0, work_hint: None }),
 //! ]);
--- a/crates/brookbend/src/state.rs
+++ b/crates/brookbend/src/state.rs
@@ -87,6 +87,7 @@
     /// When the client first asked, as far as it shows: the aim counts from here.
     pub(crate) asked: Ms,
     pub(crate) give_up_at: Ms,
+    pub(crate) max_attempts: u32,
     pub(crate) pieces: Vec<Piece>,
     /// First piece of the step that is running; its pieces alone count.
     pub(crate) step_from: usize,
--- a/crates/brookbend/tests/common/mod.rs
+++ b/crates/brookbend/tests/common/mod.rs
@@ -113,7 +113,17 @@
         self.group += 1;
         let give_up_at = self.now + 5.0 + patience;
         let (class, tenant) = (ClassIndex(class), TenantIndex(0));
-        let q = Query { id: id(name), group: self.group, class, tenant, give_up_at, again: false };
+        let (group, patience_ends, max_attempts) = (self.group, give_up_at, None);
+        let q = Query {
+            id: id(name),
+            group,
+            class,
+            tenant,
+            give_up_at,
+            patience_ends,
+            max_attempts,
+            again: false,
+        };
         let mut events = vec![Event::Query(q)];
         let weight = 1.0 / shards.len() as f64;
         for &shard in shards {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,11 +8,12 @@
 use brookbend::api::{Action, ClassIndex, Event, ListKind, Member, Part, RequestId, Settings, TenantIndex};
 use brookbend::room::no_room_advice;
 use brookbend::view::{Bulk, ServerView};
-use plover_model::query::{AttemptId, PartSpec, QueryId};
+use plover_model::query::{AttemptId, PartSpec, QueryId, QueryLimits};
 use plover_model::server::{ListScope, NodeId, Outcome, ServerInfo, View};
 use plover_model::time::{MILLI, Micros, millis};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 /// A query that wants answers from its shards.
 #[derive(Clone, Debug)]
@@ -25,6 +26,8 @@
     pub tenant: usize,
     /// When its client gives up.
     pub give_up_at: Micros,
+    /// What the operator sets for it.
+    pub limits: Arc<QueryLimits>,
     /// Whether its client marked it as a repeat.
     pub again: bool,
     /// Its parts.
@@ -112,6 +115,8 @@
 }
 
 struct Open {
+    /// An attempt is given up after this time.
+    attempt_time_out: Micros,
     /// Attempts dispatched so far, by part: the module numbers them by their order alone.
     attempts: Vec<u32>,
     give_up_at: Micros,
@@ -200,14 +205,20 @@
                 continue;
             }
             self.held += needs;
-            self.ends.insert((q.give_up_at, q.id));
-            self.open.insert(q.id, Open { attempts: vec![0; q.parts.len()], give_up_at: q.give_up_at });
+            let time_out = q.limits.time_out.map_or(Micros::MAX, |time_out| now.saturating_add(time_out));
+            let give_up_at = q.give_up_at.min(time_out);
+            self.ends.insert((give_up_at, q.id));
+            let attempt_time_out = q.limits.attempt_time_out.unwrap_or(Micros::MAX);
+            let attempts = vec![0; q.parts.len()];
+            self.open.insert(q.id, Open { attempt_time_out, attempts, give_up_at });
             self.staged.push(Event::Query(brookbend::api::Query {
                 id: query_name(q.id),
                 group: q.id,
                 class: ClassIndex(q.class),
                 tenant: TenantIndex(q.tenant),
-                give_up_at: to_ms(q.give_up_at),
+                give_up_at: to_ms(give_up_at),
+                patience_ends: to_ms(q.give_up_at),
+                max_attempts: q.limits.attempts,
                 again: q.again,
             }));
             self.staged.extend(q.parts.iter().enumerate().map(|(i, p)| {
@@ -303,8 +314,9 @@
             match action {
                 Action::Send { part, node, within } => {
                     let Some(attempt) = self.next_attempt(&part) else { continue };
-                    let give_up_at = self.open.get(&attempt.query).map_or(now, |open| open.give_up_at);
-                    let until = within.map_or(give_up_at, |ms| give_up_at.min(now + millis(ms)));
+                    let ends = |open: &Open| open.give_up_at.min(now.saturating_add(open.attempt_time_out));
+                    let ends = self.open.get(&attempt.query).map_or(now, ends);
+                    let until = within.map_or(ends, |ms| ends.min(now + millis(ms)));
                     decisions.dispatches.push(Dispatch { attempt, server: node, until });
                 }
                 Action::Cancel { part, attempt } => {
@@ -387,7 +399,8 @@
     fn query(id: QueryId, shards: &[usize]) -> Query {
         let weight = 1.0 / shards.len() as f64;
         let parts = shards.iter().map(|&shard| PartSpec { shard, weight, hint: None }).collect();
-        Query { id, class: 0, tenant: 0, give_up_at: 1_000_000, again: false, parts }
+        let limits = Arc::default();
+        Query { id, class: 0, tenant: 0, give_up_at: 1_000_000, limits, again: false, parts }
     }
 
     fn ended(attempt: AttemptId, outcome: Outcome) -> Report {
@@ -453,4 +466,38 @@
             assert!(sent.iter().all(|d| d.server != name));
         }
     }
+
+    /// What is set for a query by its operator: it ends in its own time, its attempts in theirs, and no part gets more of
+    /// them; another query beside it keeps what the platform gives.
+    #[test]
+    fn a_query_keeps_to_the_limits_that_are_set_for_it() {
+        let mut core = core(10);
+        let limits = QueryLimits {
+            time_out: Some(300_000),
+            attempt_time_out: Some(50_000),
+            attempts: Some(2),
+            ..QueryLimits::default()
+        };
+        let limited = Query { limits: Arc::new(limits), ..query(1, &[0]) };
+        let sent = core.pick(1000, vec![limited, query(2, &[1])]).dispatches;
+        let until = |id: QueryId| sent.iter().find(|d| d.attempt.query == id).unwrap().until;
+        assert!(until(1) == 51_000 && until(2) > 51_000, "{sent:?}");
+        let mut attempts = 1;
+        let mut now = 1000;
+        let mut ended = false;
+        while now < 302_000 && !ended {
+            now += 50_000;
+            let attempt = AttemptId { query: 1, part: 0, attempt: attempts - 1 };
+            let timed_out = Report { attempt, outcome: Outcome::TimedOut, elapsed: 50_000, load: None };
+            let report = core.report(now, vec![timed_out]);
+            let mut all = vec![report, core.tick(now)];
+            now += 20_000;
+            all.push(core.tick(now));
+            attempts +=
+                all.iter().flat_map(|d| &d.dispatches).filter(|d| d.attempt.query == 1).count() as u32;
+            ended = all.iter().flat_map(|d| &d.finals).any(|f| f.query == 1);
+        }
+        assert!(ended && attempts <= 2 && now <= 301_000, "{attempts} attempts, {now}");
+        assert!(core.due() > now, "the other one is in hand still");
+    }
 }
--- a/crates/h2-guard/src/lib.rs
+++ b/crates/h2-guard/src/lib.rs
@@ -8,13 +8,12 @@
 //!
 //! It also knows since when a frame or a header block stands half-sent, and whether what came was HTTP/2 at all.
 
-mod bucket;
 mod frames;
 
-pub use bucket::Bucket;
 pub use frames::{Kind, PREFACE};
 
 use frames::{Frame, Scanner};
+use plover_limits::Bucket;
 use plover_model::time::Micros;
 use std::fmt;
 
--- a/crates/model/src/query.rs
+++ b/crates/model/src/query.rs
@@ -2,6 +2,7 @@
 
 use crate::time::Micros;
 use std::rc::Rc;
+use std::sync::Arc;
 
 /// Number of a query, never used twice.
 pub type QueryId = u64;
@@ -47,6 +48,8 @@
     pub parts: Vec<PartSpec>,
     /// What each part has to carry.
     pub text: Rc<str>,
+    /// What the operator sets for it.
+    pub limits: Arc<QueryLimits>,
 }
 
 /// The final answer to a client.
@@ -85,3 +88,30 @@
     /// The zones.
     pub zones: Vec<String>,
 }
+
+/// The section of the operator's file that a limit was set in: queries count together that have it from there.
+pub type Owner = Arc<str>;
+
+/// So many queries a second of each tenant, evenly, and so many at once after a silence.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Rate {
+    /// Queries a second, 1 at least.
+    pub per_second: u32,
+    /// Queries at once, 1 at least.
+    pub burst: u32,
+}
+
+/// What an operator sets for a query; `None`: as the platform has it. A query keeps those that it began with.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct QueryLimits {
+    /// It is answered within this time.
+    pub time_out: Option<Micros>,
+    /// An attempt at a part is given up after this time.
+    pub attempt_time_out: Option<Micros>,
+    /// Most attempts at a part.
+    pub attempts: Option<u32>,
+    /// Most queries in hand, of all that share the limit.
+    pub most_in_hand: Option<(Owner, u32)>,
+    /// Most queries a second, by tenant.
+    pub rate: Option<(Owner, Rate)>,
+}
--- a/crates/operator-file/src/fault.rs
+++ b/crates/operator-file/src/fault.rs
@@ -59,15 +59,30 @@
 
 impl std::error::Error for Faults {}
 
+impl Faults {
+    /// Faults that were found in a file's text by somebody else: the word's bytes, what is wrong, what would be right.
+    pub fn found(
+        name: &str,
+        text: &str,
+        all: impl IntoIterator<Item = (Range<usize>, String, String)>,
+    ) -> Faults {
+        let source = Source::new(name, text);
+        Faults(all.into_iter().map(|(span, what, expected)| source.fault(&span, what, expected)).collect())
+    }
+}
+
 /// Makes faults of places in one text.
 pub(crate) struct Source<'a> {
     text: &'a str,
+    /// The byte on which each line begins.
+    lines: Vec<usize>,
     named: Arc<NamedSource<String>>,
 }
 
 impl<'a> Source<'a> {
     pub(crate) fn new(name: &str, text: &'a str) -> Self {
-        Source { text, named: Arc::new(NamedSource::new(name, text.to_owned())) }
+        let lines = std::iter::once(0).chain(text.match_indices('\n').map(|(n, _)| n + 1)).collect();
+        Source { text, lines, named: Arc::new(NamedSource::new(name, text.to_owned())) }
     }
 
     pub(crate) fn fault(
@@ -89,8 +104,8 @@
 
     /// Line and column of a byte, from 1.
     pub(crate) fn place(&self, at: usize) -> (usize, usize) {
-        let before = &self.text[..at];
-        let start = before.rfind('\n').map_or(0, |n| n + 1);
-        (before.matches('\n').count() + 1, before[start..].chars().count() + 1)
+        let line = self.lines.partition_point(|start| *start <= at);
+        let start = line.checked_sub(1).and_then(|n| self.lines.get(n)).copied().unwrap_or(0);
+        (line, self.text[start..at].chars().count() + 1)
     }
 }
--- a/crates/operator-file/src/keywords.rs
+++ b/crates/operator-file/src/keywords.rs
@@ -159,6 +159,38 @@
     ),
 ];
 
+/// What begins a section, with what follows it.
+pub const SECTIONS: &[(&str, &str, &str)] = &[
+    ("defaults", "nothing", "what holds for all queries"),
+    ("class", "a class's name", "what holds for queries of this class, before the defaults"),
+    (
+        "route",
+        "a name for it",
+        "what holds for queries that match it, before their class; the first in the file that does",
+    ),
+];
+
+const fn section(name: &'static str, takes: &'static str, about: &'static str) -> Keyword {
+    keyword(name, takes, about, Effect::AtOnce, None)
+}
+
+/// What may stand in a section; a `match` line in a route's alone. A change holds for queries that come later.
+pub const SECTION_KEYWORDS: &[Keyword] = &[
+    section("match-path", "a path", "queries whose path begins with these segments"),
+    section("match-class", "a class's name", "queries of this class"),
+    section("match-tenant", "a tenant's name", "queries of this tenant"),
+    section(
+        "match-header",
+        "a field's name, and a value or none",
+        "queries with this field; may stand more than once",
+    ),
+    section("time-out", "a time, 1ms to 60min", "a query is answered within it"),
+    section("attempt-time-out", "a time, 1ms to 60min", "an attempt at a part is given up after it"),
+    section("attempts", "1 to 100", "most attempts at a part"),
+    section("most-in-hand", "0 to 1000000", "most queries in hand of those that the line holds for"),
+    section("rate", "as 100/s 20", "most queries a second of a tenant, and most at once after a silence"),
+];
+
 /// The keyword of this name.
 pub(crate) fn find(name: &str) -> Option<&'static Keyword> {
     KEYWORDS.iter().find(|k| k.name == name)
@@ -170,7 +202,8 @@
     if name.len() > 64 {
         return None;
     }
-    let distance = |k: &Keyword| strsim::damerau_levenshtein(k.name, name);
-    let nearest = KEYWORDS.iter().min_by_key(|k| distance(k))?;
-    (distance(nearest) <= nearest.name.len() / 3).then_some(nearest.name)
+    let distance = |k: &&str| strsim::damerau_levenshtein(k, name);
+    let names = KEYWORDS.iter().chain(SECTION_KEYWORDS).map(|k| k.name);
+    let nearest = names.chain(SECTIONS.iter().map(|s| s.0)).min_by_key(distance)?;
+    (distance(&nearest) <= nearest.len() / 3).then_some(nearest)
 }
--- a/crates/operator-file/src/lib.rs
+++ b/crates/operator-file/src/lib.rs
@@ -16,11 +16,12 @@
 mod fault;
 mod grammar;
 mod keywords;
+mod sections;
 mod settings;
 mod values;
 
 pub use fault::{Fault, Faults};
-pub use keywords::{Effect, KEYWORDS, Keyword};
+pub use keywords::{Effect, KEYWORDS, Keyword, SECTION_KEYWORDS, SECTIONS};
 pub use settings::{Changes, Control, Http2, Log, LogFormat, LogLevel, Settings, read};
 
 /// Longest file that is read, in bytes.
--- a/crates/operator-file/src/settings.rs
+++ b/crates/operator-file/src/settings.rs
@@ -3,8 +3,10 @@
 use crate::fault::{Fault, Faults, Source};
 use crate::grammar::{Line, Word, lines};
 use crate::keywords::{self, Effect, KEYWORDS};
+use crate::sections::Sections;
 use crate::{LONGEST, values};
 use plover_model::time::{MILLI, Micros, SECOND};
+use plover_routes::{Place, Table};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -94,6 +96,10 @@
     pub control: Option<Control>,
     /// Longest wait for parts that could share a call; `None`: a tick of the settings.
     pub gather: Option<Micros>,
+    /// What is set by class and route.
+    pub table: Table,
+    /// The sections' words, a line each.
+    sections: Vec<String>,
     /// The arguments as they stand in the file, by keyword.
     given: BTreeMap<&'static str, String>,
 }
@@ -117,6 +123,9 @@
                 Effect::Restart => changes.restart.push(k.name),
             }
         }
+        if self.sections != new.sections {
+            changes.now.push("sections");
+        }
         changes
     }
 
@@ -147,7 +156,8 @@
         let what = format!("the file holds {} bytes", text.len());
         return Err(Faults(vec![source.fault(&(0..0), what, format!("expected {LONGEST} at most"))]));
     }
-    let mut reading = Reading { source, faults: Vec::new(), taken: BTreeMap::new() };
+    let (faults, taken) = (Vec::new(), BTreeMap::new());
+    let mut reading = Reading { source, faults, taken, sections: Sections::default() };
     for line in lines(text) {
         reading.line(line);
     }
@@ -160,20 +170,27 @@
     Err(Faults(faults))
 }
 
-struct Reading<'a> {
+pub(crate) struct Reading<'a> {
     source: Source<'a>,
     faults: Vec<Fault>,
     /// The first line of each keyword.
     taken: BTreeMap<&'static str, (Word, Word)>,
+    pub(crate) sections: Sections,
 }
 
 impl Reading<'_> {
-    fn fault(&mut self, word: &Word, what: String, expected: impl Into<String>) {
+    /// The line of a word.
+    pub(crate) fn place(&self, word: &Word) -> Place {
+        Place { span: word.span.clone(), line: self.source.place(word.span.start).0 }
+    }
+
+    pub(crate) fn fault(&mut self, word: &Word, what: String, expected: impl Into<String>) {
         let fault = self.source.fault(&word.span, what, expected);
         self.faults.push(fault);
     }
 
     fn line(&mut self, line: Line) {
+        let Some(line) = self.section_line(line) else { return };
         let name = &line.keyword.text;
         let Some(k) = keywords::find(name) else {
             let nearest = keywords::nearest(name).map_or(String::new(), |n| format!("did you mean {n}?"));
@@ -250,7 +267,8 @@
             header_list: header_list.map(|n| n as u32),
         });
         let given = self.taken.iter().map(|(name, (_, argument))| (*name, argument.text.clone())).collect();
-        Settings { log, http2, control, gather, given }
+        let (table, sections) = std::mem::take(&mut self.sections).end();
+        Settings { log, http2, control, gather, table, sections, given }
     }
 
     fn control(&mut self) -> Option<Control> {
@@ -306,7 +324,7 @@
 }
 
 /// A word from the file as it may stand in a line of a log.
-fn shown(word: &str) -> String {
+pub(crate) fn shown(word: &str) -> String {
     let short: String = word.chars().take(64).collect();
     let plain = short.chars().all(|c| c.is_ascii_graphic() && c != '"');
     if plain && !short.is_empty() { short } else { format!("{short:?}") }
--- a/crates/operator-file/tests/files.rs
+++ b/crates/operator-file/tests/files.rs
@@ -1,6 +1,8 @@
 //! Whole files: what they set, and what they are refused for.
 
-use plover_operator_file::{Effect, KEYWORDS, LogFormat, LogLevel, Settings, read};
+use plover_operator_file::{
+    Changes, Effect, KEYWORDS, LogFormat, LogLevel, SECTION_KEYWORDS, Settings, read,
+};
 use proptest::prelude::*;
 
 const FULL: &str = "\
@@ -57,6 +59,76 @@
     assert_eq!(read("f", "").unwrap(), Settings::default());
 }
 
+const SECTIONED: &str = "\
+log-level warn
+defaults
+most-in-hand 500
+class lookup
+time-out 1500ms  # the aim
+attempts 3
+route slow-reports
+match-path /ranking
+match-class ranking
+match-tenant public-site
+match-header X-Kind report
+match-header x-other
+time-out 3s
+attempt-time-out 900ms
+rate 100/s 20
+";
+
+#[test]
+fn sections_are_read_with_their_places() {
+    let settings = read("f", SECTIONED).unwrap();
+    assert!(SECTION_KEYWORDS.iter().all(|k| SECTIONED.contains(k.name)), "a keyword is not tested");
+    let table = &settings.table;
+    assert_eq!(table.defaults.most_in_hand.as_ref().map(|s| (s.value, s.at.line)), Some((500, 3)));
+    let lookup = &table.classes[0];
+    assert_eq!(
+        (lookup.name.as_str(), lookup.at.line, &SECTIONED[lookup.at.span.clone()]),
+        ("lookup", 4, "lookup")
+    );
+    assert_eq!(lookup.sets.time_out.as_ref().map(|s| (s.value, s.at.line)), Some((1_500_000, 5)));
+    let route = &table.routes[0];
+    let fields = [("x-kind".to_owned(), Some("report".to_owned())), ("x-other".to_owned(), None)];
+    assert_eq!((route.name.as_str(), route.matcher.headers.as_slice()), ("slow-reports", &fields[..]));
+    assert_eq!(route.sets.rate.as_ref().map(|s| (s.value.per_second, s.value.burst)), Some((100, 20)));
+    assert_eq!(route.sets.attempt_time_out.as_ref().map(|s| s.value), Some(900_000));
+    // A comment more is no change, another figure is one.
+    let same = read("f", &SECTIONED.replace("# the aim", "")).unwrap();
+    assert_eq!(settings.changes(&same), Changes::default());
+    let other = read("f", &SECTIONED.replace("500", "501")).unwrap();
+    assert_eq!(settings.changes(&other).now, ["sections"]);
+    assert_eq!(settings.adopt(&other).table, other.table);
+}
+
+#[test]
+fn faults_of_sections_have_their_places_and_are_found_together() {
+    let text = "attempts 3\nclass lookup\nattempts 3\nattempts 2\nlog-level warn\nmatch-path /a\ntime-out 3\n\
+        class lookup\ntime-out 1s\nroute\nroute a b\nroute r\nrate 100 20\nrate 1/s\nmatch-path a\nmatch-header a:b\n\
+        defaults x\nmatch-tenant t\nattempt 3\nroute q/q\n";
+    let all = faults(text);
+    for expected in [
+        "f:1:1: attempts stands in no section",
+        "f:4:1: attempts is given twice in its section; it stands on line 3",
+        "f:5:1: log-level stands in a section",
+        "f:6:1: match-path stands in no route",
+        "f:7:10: 3 is no argument for time-out",
+        "f:8:1: class lookup is given twice; it begins on line 2",
+        "f:10:1: route lacks its name",
+        "f:11:9: b is one too many for route",
+        "f:13:6: 100 is no argument for rate; expected a rate and a burst, as 100/s 20",
+        "f:14:1: rate is given twice",
+        "f:15:12: a is no argument for match-path",
+        "f:16:14: a:b is no argument for match-header",
+        "f:17:10: x is one too many for defaults",
+        "f:19:1: unknown keyword attempt; did you mean attempts?",
+        "f:20:7: q/q is no name",
+    ] {
+        assert!(all.iter().any(|f| f.starts_with(expected)), "{expected}: {all:#?}");
+    }
+}
+
 /// A faulty file is owed all its faults at once: each round of mending and trying again takes a person's time.
 #[test]
 fn every_fault_has_its_place_and_says_what_is_right() {
--- a/crates/ploverport/src/check.rs
+++ b/crates/ploverport/src/check.rs
@@ -1,9 +1,12 @@
 //! `ploverport check`.
 
 use crate::cli::CheckArguments;
+use http::{HeaderMap, HeaderName, HeaderValue};
 use miette::{GraphicalReportHandler, GraphicalTheme};
-use plover_broker::operator::read_text;
-use plover_operator_file::{Effect, Faults, KEYWORDS, read};
+use plover_broker::operator::{platform, read_checked, read_text};
+use plover_operator_file::{Effect, Faults, KEYWORDS, SECTION_KEYWORDS, SECTIONS};
+use plover_routes::{Facts, Table};
+use plover_rules::Platform;
 use serde_json::{Value, json};
 use std::io::{IsTerminal, Write};
 use std::path::Path;
@@ -16,9 +19,14 @@
         return ExitCode::SUCCESS;
     };
     let name = file.display().to_string();
-    let (faults, text) = match read_text(file) {
-        Ok(text) => (read(&name, &text).err(), None),
-        Err(error) => (None, Some(error)),
+    let platform = platform_rules(arguments.platform.as_deref());
+    let (settings, faults, text) = match (read_text(file), &platform) {
+        (_, Err(error)) => (None, None, Some(error.clone())),
+        (Ok(text), Ok(platform)) => match read_checked(&name, &text, platform.as_ref()) {
+            Ok(settings) => (Some(settings), None, None),
+            Err(faults) => (None, Some(faults), None),
+        },
+        (Err(error), _) => (None, None, Some(error)),
     };
     let count = faults.as_ref().map_or(usize::from(text.is_some()), |f| f.0.len());
     if arguments.json {
@@ -28,11 +36,68 @@
     } else if let Some(faults) = faults {
         complain(&pictures(&faults));
     } else {
-        say(&format!("{name}: it can be used\n"));
+        let unknown = "; the platform's rules were not looked at, since neither --platform nor RELAY_CONFIG names its configuration";
+        let rules = if matches!(platform, Ok(Some(_))) { "" } else { unknown };
+        say(&format!("{name}: it can be used{rules}\n"));
+        for remark in settings.iter().flat_map(|s| plover_rules::remarks(&s.table)) {
+            say(&format!("{name}:{}: {}\n", remark.line, remark.what));
+        }
+    }
+    if let (Some(query), Some(settings)) = (&arguments.explain, &settings) {
+        match explain(&settings.table, query) {
+            Ok(text) => say(&text),
+            Err(error) => {
+                complain(&format!("--explain: {error}\n"));
+                return ExitCode::FAILURE;
+            }
+        }
     }
     if count == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
+/// The rules of the platform's configuration, if one is named; the error says why it cannot be read.
+fn platform_rules(file: Option<&Path>) -> Result<Option<Platform>, String> {
+    let file = file.map(|f| f.display().to_string());
+    let named = move |key: &str| match key {
+        "RELAY_CONFIG" => file.clone().or_else(|| plover_config::environment(key)),
+        _ => plover_config::environment(key),
+    };
+    if named("RELAY_CONFIG").is_none() {
+        return Ok(None);
+    }
+    Ok(Some(platform(&plover_config::read(named)?)))
+}
+
+/// Which line decides which value for a query that is described in words.
+fn explain(table: &Table, query: &str) -> Result<String, String> {
+    let mut words = query.split_whitespace();
+    let class = words.next().ok_or("expected a class, as in \"lookup tenant=public-site\"")?;
+    let (mut path, mut tenant, mut headers) = (format!("/{class}"), "", HeaderMap::new());
+    for word in words {
+        let (name, value) = word.split_once('=').ok_or_else(|| format!("{word}: expected NAME=VALUE"))?;
+        match name {
+            "path" => path = value.to_owned(),
+            "tenant" => tenant = value,
+            _ => {
+                let name = HeaderName::try_from(name).map_err(|_| format!("{name} is no name of a field"))?;
+                let value =
+                    HeaderValue::try_from(value).map_err(|_| format!("{value:?} is no value of a field"))?;
+                headers.append(name, value);
+            }
+        }
+    }
+    let (route, lines) = table.explain(&Facts { path: &path, class, tenant, headers: &headers });
+    let mut text = format!("{query}: {}\n", route.map_or("no route".to_owned(), |r| format!("route {r}")));
+    for l in lines {
+        let value = l.value.unwrap_or_else(|| "-".to_owned());
+        let from = l
+            .from
+            .map_or("as the platform has it".to_owned(), |(owner, line)| format!("{owner}, line {line}"));
+        text += &format!("{:<18} {value:<12} {from}\n", l.keyword);
+    }
+    Ok(text)
+}
+
 /// Standard output may be a pipe whose reader has gone: that is no fault of the file.
 fn say(text: &str) {
     let _ = std::io::stdout().write_all(text.as_bytes());
@@ -77,5 +142,11 @@
     for k in KEYWORDS {
         text += &row(k.name, k.takes, effect(k.effect), k.about);
     }
+    for (name, takes, about) in SECTIONS {
+        text += &row(name, takes, "begins a section", about);
+    }
+    for k in SECTION_KEYWORDS {
+        text += &row(k.name, k.takes, "for new queries", k.about);
+    }
     text
 }
--- a/crates/ploverport/src/cli.rs
+++ b/crates/ploverport/src/cli.rs
@@ -121,6 +121,14 @@
     /// Print the faults as JSON
     #[arg(long)]
     pub(crate) json: bool,
+    /// The platform's configuration, whose rules the file must keep; without it, that of RELAY_CONFIG
+    #[arg(long, value_name = "FILE")]
+    pub(crate) platform: Option<PathBuf>,
+    /// Print which line decides which value for a query, such as "lookup tenant=public-site x-kind=a"
+    ///
+    /// First the class, then what is not as usual: tenant=NAME, path=/PATH, and header fields with their values.
+    #[arg(long, value_name = "QUERY", conflicts_with = "keywords")]
+    pub(crate) explain: Option<String>,
     /// Print what may stand in such a file, and when a change takes effect
     #[arg(long, conflicts_with = "file")]
     pub(crate) keywords: bool,
--- a/crates/ploverport/src/control/mod.rs
+++ b/crates/ploverport/src/control/mod.rs
@@ -52,7 +52,7 @@
         return demo(listen);
     }
     let read = || -> Result<(Config, Options), String> {
-        let operator = Operator::load(arguments.config.clone())?;
+        let operator = Operator::load(arguments.config.clone(), None)?;
         operator.set_log();
         Ok((plover_config::read(plover_config::environment)?, options(operator.settings())?))
     };
--- a/crates/ploverport/src/serve.rs
+++ b/crates/ploverport/src/serve.rs
@@ -1,6 +1,6 @@
 //! `ploverport` and `ploverport serve`.
 
-use plover_broker::operator::Operator;
+use plover_broker::operator::{Operator, platform};
 use plover_broker::turns;
 use plover_config::Config;
 use std::net::SocketAddr;
@@ -11,9 +11,10 @@
 /// Serves until the program is told to end.
 pub(crate) fn run(file: Option<PathBuf>) -> ExitCode {
     let read = || {
-        let operator = Operator::load(file)?;
+        let config = plover_config::read(plover_config::environment)?;
+        let operator = Operator::load(file, Some(platform(&config)))?;
         operator.set_log();
-        Ok((plover_config::read(plover_config::environment)?, operator))
+        Ok((config, operator))
     };
     run_with(read, |_, _| ())
 }
--- a/crates/ploverport/tests/control/peers.rs
+++ b/crates/ploverport/tests/control/peers.rs
@@ -100,9 +100,10 @@
         assert!(most > 2 * A_THIRD, "{most}: not all lent their parts");
         proxies
     });
+    // At the start, before all were up, they missed each other, too.
+    rig.program.seen();
     third.signal("KILL").unwrap();
-    let line = rig.program.logged("event=control_peer").unwrap();
-    assert!(line.contains(&format!(":{}", ports[2])), "{line}");
+    rig.program.logged(&format!("event=control_peer peer=127.0.0.1:{}", ports[2])).unwrap();
     rig.run(async {
         // What it lent last has run out by the time that the next one asks for anything.
         tokio::time::sleep(Duration::from_secs(2)).await;
--- a/crates/ploverport/tests/http2/main.rs
+++ b/crates/ploverport/tests/http2/main.rs
@@ -6,6 +6,7 @@
 mod drain;
 mod floods;
 mod keys;
+mod limits;
 mod requests;
 mod rig;
 mod streams;
--- a/crates/query/src/ask.rs
+++ b/crates/query/src/ask.rs
@@ -4,6 +4,7 @@
 use http::{HeaderMap, Method, Request};
 use plover_model::query::{Ask, Names, PartSpec, Reply};
 use plover_model::time::{MILLI, Micros, millis};
+use plover_routes::{Facts, Routes};
 use serde::Deserialize;
 use std::rc::Rc;
 
@@ -32,7 +33,12 @@
 }
 
 /// Decodes a request for a class. The error is the answer that it is owed.
-pub fn decode(request: &Request<Vec<u8>>, names: &Names, settings: &Settings) -> Result<Ask, Reply> {
+pub fn decode(
+    request: &Request<Vec<u8>>,
+    names: &Names,
+    settings: &Settings,
+    routes: &Routes,
+) -> Result<Ask, Reply> {
     let m = request.headers();
     let first = request.uri().path().trim_start_matches('/').split('/').next().unwrap_or_default();
     let Some(class) = names.classes.iter().position(|c| c == first) else {
@@ -71,7 +77,14 @@
         Ok(body) => body,
         Err(e) => return bad(400, format!("the body is malformed: {e}")),
     };
+    let facts = Facts {
+        path: request.uri().path(),
+        class: &names.classes[class],
+        tenant: names.tenants.get(tenant).map_or("", String::as_str),
+        headers: m,
+    };
     Ok(Ask {
+        limits: routes.of(class, &facts).clone(),
         id,
         class,
         tenant,
--- a/crates/query/src/lib.rs
+++ b/crates/query/src/lib.rs
@@ -11,6 +11,7 @@
 use brookbend::api::Settings;
 use http::{Method, Request};
 use plover_model::query::{Ask, Names};
+use plover_routes::Routes;
 
 /// Longest body of a request, in bytes.
 pub const BODY_CAP: usize = 64 * 1024;
@@ -34,7 +35,13 @@
 }
 
 /// Says what a whole request wants; `ready` is whether the broker takes queries.
-pub fn route(request: &Request<Vec<u8>>, ready: bool, names: &Names, settings: &Settings) -> Routed {
+pub fn route(
+    request: &Request<Vec<u8>>,
+    ready: bool,
+    names: &Names,
+    settings: &Settings,
+    routes: &Routes,
+) -> Routed {
     let answered = |response, usable| Routed::Answered { response, usable };
     if request.uri() == "*" {
         return answered(answer::options(), true);
@@ -46,7 +53,7 @@
             _ => answered(answer::error(501, "", ""), false),
         };
     }
-    match decode(request, names, settings) {
+    match decode(request, names, settings, routes) {
         Ok(ask) => Routed::Query(ask),
         Err(reply) => answered(final_answer(&reply), false),
     }
