Measure limits by route, and show their guards one by one

Need: what classes and routes cost was not measured, and two guards (the time-out in the core, routes on reload) could be taken out without a test that broke.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -500,4 +500,19 @@
         assert!(ended && attempts <= 2 && now <= 301_000, "{attempts} attempts, {now}");
         assert!(core.due() > now, "the other one is in hand still");
     }
+
+    /// A query that hears nothing ends at the time-out that is set for it, long before its client gives up.
+    #[test]
+    fn a_time_out_ends_a_query_before_its_client_does() {
+        let mut core = core(10);
+        let limits = QueryLimits { time_out: Some(300_000), ..QueryLimits::default() };
+        core.pick(1000, vec![Query { limits: Arc::new(limits), ..query(1, &[0]) }]);
+        let mut now = 1000;
+        let mut ended = false;
+        while !ended {
+            now = core.due().max(now + 1000);
+            assert!(now <= 301_000, "it is in hand still");
+            ended = core.tick(now).finals.iter().any(|f| f.query == 1);
+        }
+    }
 }
--- a/crates/operator-file/src/sections.rs
+++ b/crates/operator-file/src/sections.rs
@@ -252,7 +252,8 @@
             "match-tenant" => route.matcher.tenant = Some(value),
             _ => {
                 let wanted = line.arguments.get(1).map(|w: &Word| w.text.clone());
-                route.matcher.headers.push((value, wanted));
+                // It was read as a name above.
+                route.matcher.headers.extend(HeaderName::try_from(value).ok().map(|name| (name, wanted)));
             }
         }
     }
--- a/crates/operator-file/tests/files.rs
+++ b/crates/operator-file/tests/files.rs
@@ -90,7 +90,10 @@
     );
     assert_eq!(lookup.sets.time_out.as_ref().map(|s| (s.value, s.at.line)), Some((1_500_000, 5)));
     let route = &table.routes[0];
-    let fields = [("x-kind".to_owned(), Some("report".to_owned())), ("x-other".to_owned(), None)];
+    let fields = [
+        (http::HeaderName::from_static("x-kind"), Some("report".to_owned())),
+        (http::HeaderName::from_static("x-other"), None),
+    ];
     assert_eq!((route.name.as_str(), route.matcher.headers.as_slice()), ("slow-reports", &fields[..]));
     assert_eq!(route.sets.rate.as_ref().map(|s| (s.value.per_second, s.value.burst)), Some((100, 20)));
     assert_eq!(route.sets.attempt_time_out.as_ref().map(|s| s.value), Some(900_000));
--- a/crates/ploverport/src/bench/mod.rs
+++ b/crates/ploverport/src/bench/mod.rs
@@ -6,6 +6,7 @@
 use crate::cli::BenchArguments;
 use hdrhistogram::Histogram;
 use indicatif::{ProgressBar, ProgressStyle};
+use plover_broker::operator::read_text;
 use plover_load::{Load, Outcome, Target, open_loop};
 use plover_standins::{Deployment, Fleet, Plan, Program};
 use serde_json::{Value, json};
@@ -118,7 +119,9 @@
 fn measure_all(arguments: &BenchArguments) -> io::Result<()> {
     let seconds = Duration::from_secs_f64(arguments.seconds);
     let exe = arguments.exe.clone().map_or_else(std::env::current_exe, Ok)?;
-    let build = Build { exe, http2: !arguments.http1_only };
+    let lines = arguments.lines.as_deref().map_or_else(|| Ok(String::new()), read_text);
+    let lines = lines.map_err(io::Error::other)?;
+    let build = Build { exe, http2: !arguments.http1_only, lines };
     let mut plan = plan();
     plan.retain(|m| build.http2 || !matches!(m.front, Front::Http2(_)));
     plan.retain(|m| build.http2 || matches!(m.turns, Turns::Ticks));
@@ -173,6 +176,8 @@
 struct Build {
     exe: PathBuf,
     http2: bool,
+    /// What stands below the rest of the operator's file.
+    lines: String,
 }
 
 impl Build {
@@ -181,7 +186,8 @@
         let fleet = Fleet::start(plan)?;
         let http2 = if self.http2 { "listen-http2 127.0.0.1:0\nhttp2-streams 400\n" } else { "" };
         let gather = if gather { "gather-time 5ms\n" } else { "" };
-        let program = Program::start(&self.exe, deployment(), &fleet, &format!("{http2}{gather}"))?;
+        let program =
+            Program::start(&self.exe, deployment(), &fleet, &format!("{http2}{gather}{}", self.lines))?;
         Ok((fleet, program))
     }
 }
--- a/crates/ploverport/src/cli.rs
+++ b/crates/ploverport/src/cli.rs
@@ -161,6 +161,9 @@
     /// HTTP/1.1 alone, for builds that speak nothing else
     #[arg(long)]
     pub(crate) http1_only: bool,
+    /// Lines that are put below the broker's own file in each measurement, such as sections of classes and routes
+    #[arg(long, value_name = "FILE")]
+    pub(crate) lines: Option<PathBuf>,
     /// Only the measurements whose row contains this, such as " 1 at once gather" or "256 half"
     #[arg(long, value_name = "WORDS", default_value = "")]
     pub(crate) only: String,
--- a/crates/ploverport/tests/control/peers.rs
+++ b/crates/ploverport/tests/control/peers.rs
@@ -1,6 +1,6 @@
 //! Two instances side by side: what one does not need of a cold server, the other may deal out.
 
-use crate::rig::{BOUND, is_whole, rig_with, start, unix_ms, usual};
+use crate::rig::{BOUND, Rig, is_whole, rig_with, start, unix_ms, usual};
 use plover_standins::Entry;
 use plover_xds::Variant;
 use plover_xds_client::{Proxy, State, Style};
@@ -17,6 +17,17 @@
     )
 }
 
+async fn three_proxies(rig: &Rig) -> Vec<Proxy> {
+    let mut proxies = Vec::new();
+    for n in 0..3 {
+        let proxy =
+            rig.connect(usual(&format!("p{n}"), Variant::Delta, Style::Envoy), State::default()).await;
+        assert!(proxy.until(BOUND, is_whole).await);
+        proxies.push(proxy);
+    }
+    proxies
+}
+
 /// The most that proxies hold of a server together while it grows warm.
 async fn most_leased(proxies: &[Proxy], server: &Entry, enough: u32) -> u32 {
     let cluster = format!("cold-{}", server.name());
@@ -52,13 +63,7 @@
     let (mut other, _) = start(&rig.list, &instance(1, &ports));
     other.logged("event=control_ready").unwrap();
     rig.run(async {
-        let mut proxies = Vec::new();
-        for n in 0..3 {
-            let proxy =
-                rig.connect(usual(&format!("p{n}"), Variant::Delta, Style::Envoy), State::default()).await;
-            assert!(proxy.until(BOUND, is_whole).await);
-            proxies.push(proxy);
-        }
+        let proxies = three_proxies(&rig).await;
         // The time in which both hold back after their start.
         tokio::time::sleep(Duration::from_millis(7500)).await;
         let cold = Entry { boot_ms: unix_ms() - 8000, ..entries[0] };
@@ -86,13 +91,7 @@
         program.logged("event=control_ready").unwrap();
     }
     let proxies = rig.run(async {
-        let mut proxies = Vec::new();
-        for n in 0..3 {
-            let proxy =
-                rig.connect(usual(&format!("p{n}"), Variant::Delta, Style::Envoy), State::default()).await;
-            assert!(proxy.until(BOUND, is_whole).await);
-            proxies.push(proxy);
-        }
+        let proxies = three_proxies(&rig).await;
         tokio::time::sleep(Duration::from_millis(7500)).await;
         let cold = Entry { boot_ms: unix_ms() - 6000, ..entries[0] };
         rig.list.set(&[cold]);
--- a/crates/ploverport/tests/http2/limits.rs
+++ b/crates/ploverport/tests/http2/limits.rs
@@ -103,7 +103,11 @@
     std::thread::sleep(Duration::from_millis(1100));
     rig.reload("", words);
     held.push(open(&rig, "e"));
-    rig.run(rig.attempts(3));
+    rig.run(async {
+        while !rig.fleet.books(|b| b.attempts().iter().any(|a| a.id.starts_with("e."))) {
+            async_io::Timer::after(Duration::from_millis(1)).await;
+        }
+    });
     std::thread::sleep(Duration::from_millis(1100));
     rig.reload("class lookup\nmost-in-hand 1\n", words);
     assert!(refused(&rig, "f"), "those that were let in before count still");
--- a/crates/routes/src/compare.rs
+++ b/crates/routes/src/compare.rs
@@ -59,7 +59,10 @@
             path: path.map(str::to_owned),
             class: class.map(str::to_owned),
             tenant: tenant.map(str::to_owned),
-            headers: fields.into_iter().map(|(n, v)| (n.to_owned(), v.map(str::to_owned))).collect(),
+            headers: fields
+                .into_iter()
+                .map(|(n, v)| (http::HeaderName::from_static(n), v.map(str::to_owned)))
+                .collect(),
         })
     }
 
--- a/crates/routes/src/matching.rs
+++ b/crates/routes/src/matching.rs
@@ -1,6 +1,6 @@
 //! Which queries a route is for.
 
-use http::HeaderMap;
+use http::{HeaderMap, HeaderName};
 
 /// What a route may look at.
 #[derive(Clone, Copy, Debug)]
@@ -24,8 +24,9 @@
     pub class: Option<String>,
     /// The tenant.
     pub tenant: Option<String>,
-    /// Fields that must be there, by their names in small letters, with a value of one of them where that matters.
-    pub headers: Vec<(String, Option<String>)>,
+    /// Fields that must be there, with a value of one of them where that matters. The names are read once, when the
+    /// file is, not for each query.
+    pub headers: Vec<(HeaderName, Option<String>)>,
 }
 
 /// Whether a path begins with these whole segments.
@@ -42,7 +43,7 @@
 
     /// Whether a query is one of these.
     pub fn matches(&self, facts: &Facts<'_>) -> bool {
-        let field = |(name, value): &(String, Option<String>)| {
+        let field = |(name, value): &(HeaderName, Option<String>)| {
             let mut values = facts.headers.get_all(name).iter();
             values.any(|v| value.as_ref().is_none_or(|value| v.as_bytes() == value.as_bytes()))
         };
@@ -65,7 +66,7 @@
         let facts = Facts { path: "/lookup/7", class: "lookup", tenant: "t", headers: &headers };
         let text = |t: &str| Some(t.to_owned());
         let field = |value: Option<&str>| Matcher {
-            headers: vec![("x-kind".to_owned(), value.map(str::to_owned))],
+            headers: vec![(HeaderName::from_static("x-kind"), value.map(str::to_owned))],
             ..Matcher::default()
         };
         let path = |path| Matcher { path: text(path), ..Matcher::default() };
@@ -87,7 +88,7 @@
             field(Some("c")),
             Matcher { class: text("ranking"), ..Matcher::default() },
             Matcher { class: text("lookup"), tenant: text("u"), ..field(Some("a")) },
-            Matcher { headers: vec![("x-other".to_owned(), None)], ..Matcher::default() },
+            Matcher { headers: vec![(HeaderName::from_static("x-other"), None)], ..Matcher::default() },
         ] {
             assert!(!bad.matches(&facts), "{bad:?}");
         }
