--- a/crates/director/tests/turns.rs
+++ b/crates/director/tests/turns.rs
@@ -400,14 +400,20 @@
     assert!(last >= whole, "{last} of {whole}: {out:?}");
 }
 
+/// Two proxies that have read all of what is told of four servers.
+fn two_that_read_all(director: &mut Director) -> Vec<Proxy> {
+    director.learn(0, ListScope::Whole, four());
+    let mut proxies: Vec<Proxy> = (1..=2).map(|id| Proxy::open(director, 0, id, None)).collect();
+    turn(director, &mut proxies, 0);
+    proxies.iter_mut().for_each(|p| p.read_all(director, 0));
+    proxies
+}
+
 /// A director with two proxies that have read all, and a server that has just come back cold.
 fn with_a_cold_server() -> (Director, Vec<Proxy>, Micros) {
     let mut director = director();
     let mut servers = four();
-    director.learn(0, ListScope::Whole, servers.clone());
-    let mut proxies: Vec<Proxy> = (1..=2).map(|id| Proxy::open(&mut director, 0, id, None)).collect();
-    turn(&mut director, &mut proxies, 0);
-    proxies.iter_mut().for_each(|p| p.read_all(&mut director, 0));
+    let mut proxies = two_that_read_all(&mut director);
     let now = 20 * SECOND;
     servers[0] = server(0, NodeState::Serving, Some(now as i64));
     director.learn(now, ListScope::Whole, servers);
@@ -521,10 +527,7 @@
 fn nothing_is_leased_while_a_proxy_without_stream_may_take_the_server_for_warm() {
     let mut director = made(0, Instance { number: 0, of: 1 }, Some(CUT_OFF));
     let mut servers = four();
-    director.learn(0, ListScope::Whole, servers.clone());
-    let mut proxies: Vec<Proxy> = (1..=2).map(|id| Proxy::open(&mut director, 0, id, None)).collect();
-    turn(&mut director, &mut proxies, 0);
-    proxies.iter_mut().for_each(|p| p.read_all(&mut director, 0));
+    let mut proxies = two_that_read_all(&mut director);
     let now = 20 * SECOND;
     director.ended(now, proxies.remove(0).id);
     servers[0] = server(0, NodeState::Serving, Some(now as i64));
