Open a door for operators: figures, drain and rejoin; take over an inherited listener

Need: operators call a broker on an address of their own, and the platform may hold the clients' listening socket.

--- /dev/null
+++ b/crates/broker/src/front/door.rs
@@ -0,0 +1,129 @@
+//! The operators' door: one call to a connection, answered by the turn loop.
+//!
+//! It has seats of its own, so that a full front of clients takes none of them. Where callers hold them without a whole
+//! call, the oldest of these goes first.
+
+use super::Shared;
+use super::accept::Serve;
+use super::http1::LAST;
+use super::seats::{Rank, Seat, Seats};
+use crate::inbox::Input;
+use async_io::Async;
+use futures_lite::{AsyncWriteExt, FutureExt};
+use http::{Method, Request};
+use plover_http1::{Limits, Reader, RequestDecoder, Step, encode_response};
+use plover_ops::{BadCall, Call, decode};
+use plover_query::{Response, plain};
+use plover_runtime::clock::limited;
+use plover_runtime::net::{linger, read_some};
+use std::io::{self, Write};
+use std::net::{Shutdown, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Seats of the door: more callers at once than a platform and a few people are, and few enough descriptors.
+pub const DOOR_SEATS: usize = 16;
+/// A call must be all there within this time.
+const CALL_TIME: Duration = Duration::from_secs(5);
+/// Operators are owed an answer within a second: past this, they are told that turns stand still.
+const TURN_TIME: Duration = Duration::from_millis(900);
+/// An answer is taken within this time.
+const WRITE_TIME: Duration = Duration::from_secs(2);
+/// What a call may take: nothing of it is long.
+const LIMITS: Limits = Limits { head: 4 * 1024, body: 4 * 1024 };
+
+/// The front of operators.
+pub struct Door {
+    shared: Rc<Shared>,
+    seats: Rc<Seats>,
+}
+
+impl Serve for Door {
+    fn seats(&self) -> &Rc<Seats> {
+        &self.seats
+    }
+
+    /// An error is the caller's going away.
+    async fn serve(self: Rc<Self>, stream: Async<TcpStream>, seat: Seat) {
+        let _ = self.call(stream, &seat).await;
+    }
+
+    fn turn_away(&self, stream: &Async<TcpStream>) {
+        let bytes = encode_response(&self.shared.dated(plain(503, "", "too many callers")), LAST);
+        let _ = stream.get_ref().write(&bytes);
+        let _ = stream.get_ref().shutdown(Shutdown::Write);
+    }
+}
+
+impl Door {
+    pub(super) fn new(shared: Rc<Shared>) -> Self {
+        Door { shared, seats: Seats::new(DOOR_SEATS) }
+    }
+
+    async fn call(&self, stream: Async<TcpStream>, seat: &Seat) -> io::Result<()> {
+        stream.get_ref().set_nodelay(true)?;
+        let mut input = Vec::new();
+        let (request, response) = match self.request(&stream, seat, &mut input).await? {
+            Ok(request) => {
+                let response = match decode(&request, input.len()) {
+                    Ok(call) => self.answer(call).await,
+                    Err(bad) => bad_call(bad),
+                };
+                (Some(request), response)
+            }
+            Err(response) => (None, response),
+        };
+        let head_only = request.is_some_and(|r| r.method() == Method::HEAD);
+        let bytes = encode_response(&self.shared.dated(response), Reader { head_only, ..LAST });
+        limited(WRITE_TIME, (&stream).write_all(&bytes)).await?;
+        linger(&stream).await
+    }
+
+    /// Reads the call; the inner error is the answer to what is none.
+    async fn request(
+        &self,
+        stream: &Async<TcpStream>,
+        seat: &Seat,
+        input: &mut Vec<u8>,
+    ) -> io::Result<Result<Request<Vec<u8>>, Response>> {
+        let spare = seat.spare(Rank::Fresh);
+        let mut decoder = RequestDecoder::new(LIMITS);
+        let read = async {
+            loop {
+                match decoder.step(input) {
+                    Ok(Step::Whole(message)) => return Ok(Ok(message.value)),
+                    Ok(Step::More(_)) => {}
+                    Err(fault) => return Ok(Err(plain(fault.status(), "", fault.why()))),
+                }
+                if read_some(stream, input).await? == 0 {
+                    return Err(io::ErrorKind::UnexpectedEof.into());
+                }
+            }
+        };
+        let evicted = async {
+            spare.closed().await;
+            Err(io::ErrorKind::TimedOut.into())
+        };
+        match limited(CALL_TIME, read.or(evicted)).await {
+            Err(e) if e.kind() == io::ErrorKind::TimedOut => {
+                Ok(Err(plain(408, "", "the call did not come in time")))
+            }
+            other => other,
+        }
+    }
+
+    /// The turn loop's answer: its coming shows that turns go on.
+    async fn answer(&self, call: Call) -> Response {
+        let (sender, receiver) = async_channel::bounded(1);
+        self.shared.inbox.put(Input::Operator(call, sender));
+        let answer = async { receiver.recv().await.map_err(io::Error::other) };
+        match limited(TURN_TIME, answer).await {
+            Ok((status, text)) => plain(status, "", &text),
+            Err(_) => plain(503, "", "no turn in time"),
+        }
+    }
+}
+
+fn bad_call(bad: BadCall) -> Response {
+    plain(bad.status(), bad.allow(), bad.why())
+}
--- a/crates/broker/src/front/http1.rs
+++ b/crates/broker/src/front/http1.rs
@@ -24,6 +24,8 @@
 /// A connection without a request, or one whose request does not go on, is closed after this time. Clients open
 /// connections in order to speak, and those that keep them for good would fill all seats with silence.
 const SILENCE: Duration = Duration::from_secs(2);
+/// The same, once the broker has been emptied.
+const SILENCE_EMPTY: Duration = Duration::from_millis(500);
 /// How much may be read ahead while an answer is awaited.
 const AHEAD: usize = HEAD_CAP;
 /// What a request may take.
@@ -59,7 +61,7 @@
 }
 
 /// The reader of an answer that ends its connection.
-const LAST: Reader = Reader { version: Version::HTTP_11, head_only: false, keep_alive: false };
+pub(super) const LAST: Reader = Reader { version: Version::HTTP_11, head_only: false, keep_alive: false };
 
 impl Http1 {
     /// A front that holds so many connections at most.
@@ -128,7 +130,12 @@
             return Ok(read_some(stream, input).or(async { Ok(0) }).await? > 0);
         }
         let spare = seat.spare(if served { Rank::Served } else { Rank::Fresh });
-        let silent = Timer::after(if served { self.seats.idle_time() } else { SILENCE });
+        let silent = Timer::after(match served {
+            true => self.seats.idle_time(),
+            // Nobody is sent here any more but by fronts that notice late: they speak at once.
+            false if self.shared.stage() == Stage::Empty => SILENCE_EMPTY,
+            false => SILENCE,
+        });
         let end = async {
             spare.closed().or(async { _ = silent.await }).await;
             Ok(0)
--- a/crates/broker/src/front/mod.rs
+++ b/crates/broker/src/front/mod.rs
@@ -4,10 +4,12 @@
 //! and writes the one final answer. All fronts share a [`Shared`].
 
 mod accept;
+mod door;
 mod http1;
 mod http2;
 mod seats;
 
+pub use door::{DOOR_SEATS, Door};
 pub use http1::Http1;
 pub use http2::Http2;
 
@@ -19,6 +21,7 @@
 use http::header::{DATE, HeaderValue};
 use plover_admission::{Connection, budget};
 use plover_model::query::Names;
+use plover_ops::Stage;
 use plover_query::{Response, Routed, date, route};
 use plover_routes::Routes;
 use plover_runtime::clock::Clock;
@@ -28,17 +31,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
-/// Where the program is in its life.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Stage {
-    /// It serves.
-    Serving,
-    /// It is to end: it serves what still comes, but is no longer ready.
-    Leaving,
-    /// It takes no new connections, and closes each once it is idle.
-    Closing,
-}
-
 /// What all fronts share.
 pub struct Shared {
     inbox: Rc<Inbox>,
@@ -130,12 +122,16 @@
     executor: Rc<LocalExecutor<'static>>,
     http1: Listening<Http1>,
     http2: Option<Listening<Http2>>,
+    /// Where operators call; open to the end.
+    _door: Option<Listening<Door>>,
 }
 
 /// Where a front listens, and what it may hold.
 pub struct Plan {
     /// Where clients with HTTP/1.1 connect.
     pub http1: Async<TcpListener>,
+    /// Where operators call.
+    pub door: Option<Async<TcpListener>>,
     /// Where those with HTTP/2 do.
     pub http2: Option<Async<TcpListener>>,
     /// What both may hold.
@@ -150,7 +146,9 @@
         let http2 = plan.http2.zip(plan.limits.http2).map(|(listener, limits)| {
             Listening::start(Http2::new(shared.clone(), limits, clock), listener, &executor)
         });
-        Fronts { shared, executor, http1, http2 }
+        let door = |listener| Listening::start(Door::new(shared.clone()), listener, &executor);
+        let _door = plan.door.map(door);
+        Fronts { shared, executor, http1, http2, _door }
     }
 
     /// Takes other limits, where that is possible while the program runs.
@@ -165,9 +163,13 @@
         *self.shared.routes.borrow_mut() = routes;
     }
 
-    /// The program is to end: what still comes is served.
-    pub fn leave(&self) {
-        self.shared.set_stage(Stage::Leaving);
+    /// Goes by another stage; with [`Stage::Empty`] idle connections are closed. For [`Stage::Closing`] there is
+    /// [`Fronts::close`].
+    pub fn go(&self, stage: Stage) {
+        self.shared.set_stage(stage);
+        if stage == Stage::Empty {
+            self.http1.front.close_idle();
+        }
     }
 
     /// Takes what the system has accepted, but no new connections from now on.
--- a/crates/broker/src/inbox.rs
+++ b/crates/broker/src/inbox.rs
@@ -5,6 +5,7 @@
 use plover_frames::{BadFrame, FromServer};
 use plover_model::query::{Ask, QueryId, Reply};
 use plover_model::server::Targets;
+use plover_ops::Call;
 use std::cell::{Cell, RefCell};
 use std::io;
 
@@ -22,6 +23,8 @@
     Reload,
     /// The program is to end.
     Terminate,
+    /// An operator calls; the answer is a status and a text.
+    Operator(Call, Sender<(u16, String)>),
 }
 
 /// News of a connection to a data server.
--- a/crates/broker/src/queries.rs
+++ b/crates/broker/src/queries.rs
@@ -9,6 +9,7 @@
 use plover_model::query::{Ask, AttemptId, QueryId, Reply};
 use plover_model::server::Outcome;
 use plover_model::time::{Micros, millis};
+use plover_ops::{Books, Census, End, Row};
 use plover_repeats::{Proof, Repeats, Verdict};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -21,6 +22,7 @@
 
 /// A query in hand. Dropping it drops the way to its client, so it is dropped with its one reply.
 struct Pending {
+    row: Row,
     connection: Connection,
     permit: Permit,
     ask: Ask,
@@ -41,6 +43,16 @@
     1 + ask.parts.len()
 }
 
+/// What a reply is in the books; a request that cannot be used was never taken.
+fn end_of(reply: &Reply) -> Option<End> {
+    match reply {
+        Reply::Answer { .. } => Some(End::Succeeded),
+        Reply::Refused { .. } => Some(End::Declined),
+        Reply::Failed => Some(End::Aborted),
+        Reply::Bad { .. } => None,
+    }
+}
+
 /// Why a dispatch does not go out.
 #[derive(Debug, PartialEq, Eq)]
 pub(crate) enum Held {
@@ -61,11 +73,16 @@
     /// Attempts that are out under a key.
     keyed: BTreeMap<AttemptId, (Rc<str>, usize)>,
     max_retry_after: Option<Micros>,
+    books: Books,
+    /// Of each class, by its index.
+    rows: Vec<Row>,
 }
 
 impl Queries {
     /// With room for so many queries and parts.
-    pub(crate) fn new(settings: &Settings, room: usize, seed: u64) -> Self {
+    pub(crate) fn new(settings: &Settings, classes: &[String], room: usize, seed: u64) -> Self {
+        let mut books = Books::default();
+        let rows = classes.iter().map(|name| books.row(name)).collect();
         let window = settings.classes.iter().filter_map(|c| match c.semantics {
             Semantics::Keyed { window } => Some(millis(window)),
             _ => None,
@@ -79,6 +96,8 @@
             gate: Gate::new(seed),
             keyed: BTreeMap::new(),
             max_retry_after: settings.max_retry_after.map(millis),
+            books,
+            rows,
         }
     }
 
@@ -87,6 +106,11 @@
         self.pending.len()
     }
 
+    /// All figures.
+    pub(crate) fn figures(&self, census: &Census) -> String {
+        self.books.render(census)
+    }
+
     /// Whether there are none.
     pub(crate) fn is_empty(&self) -> bool {
         self.pending.is_empty()
@@ -101,7 +125,13 @@
         ask: Ask,
         reply: Sender<Reply>,
     ) -> Option<Query> {
-        let answered = |reply_with| {
+        let row = self.rows[ask.class];
+        let books = &mut self.books;
+        let mut answered = |reply_with| {
+            if let Some(end) = end_of(&reply_with) {
+                books.take(row);
+                books.end(row, end);
+            }
             let _ = reply.try_send(reply_with);
             None
         };
@@ -157,13 +187,14 @@
         span.in_scope(|| debug!(name: "query_taken", class = ask.class, parts = ask.parts.len()));
         self.ids.insert(ask.id.clone());
         let values = vec![None; ask.parts.len()];
-        self.pending.insert(id, Pending { connection, permit, ask, reply, values, span });
+        self.books.take(row);
+        self.pending.insert(id, Pending { row, connection, permit, ask, reply, values, span });
         Some(query)
     }
 
     /// The client has gone. Nothing may be left to free where the reply was on its way already.
     pub(crate) fn gone(&mut self, now: Micros, query: QueryId) {
-        if let Some(pending) = self.close(now, query, false) {
+        if let Some(pending) = self.close(now, query, End::Aborted) {
             pending.span.in_scope(|| debug!(name: "query_gone", query));
         }
     }
@@ -174,20 +205,22 @@
         let values = std::mem::take(&mut pending.values);
         let shards = pending.ask.parts.iter().map(|p| p.shard);
         let reply = reply(shards.zip(values).filter_map(|(shard, v)| Some((shard, v?))).collect());
-        let Some(pending) = self.close(now, query, matches!(reply, Reply::Answer { .. })) else { return };
+        let end = end_of(&reply).unwrap_or(End::Aborted);
+        let Some(pending) = self.close(now, query, end) else { return };
         pending.span.in_scope(|| debug!(name: "query_ended", reply = ?std::mem::discriminant(&reply)));
         // A client that has just gone needs none.
         let _ = pending.reply.try_send(reply);
     }
 
     /// The one place where a query is given back.
-    fn close(&mut self, now: Micros, query: QueryId, answered: bool) -> Option<Pending> {
+    fn close(&mut self, now: Micros, query: QueryId, end: End) -> Option<Pending> {
         let mut pending = self.pending.remove(&query)?;
+        self.books.end(pending.row, end);
         self.gate.give_back(std::mem::take(&mut pending.permit));
         self.ids.remove(&pending.ask.id);
         self.shares.give_back(pending.connection, pending.units());
         if let Some(key) = &pending.ask.key {
-            self.repeats.close(now, key, answered);
+            self.repeats.close(now, key, end == End::Succeeded);
         }
         Some(pending)
     }
--- a/crates/broker/src/turns.rs
+++ b/crates/broker/src/turns.rs
@@ -6,7 +6,7 @@
 use crate::queries::{Held, Queries};
 use crate::upstream::{Ended, Send, Upstream};
 use async_executor::LocalExecutor;
-use async_io::{Async, Timer};
+use async_io::Timer;
 use async_signal::{Signal, Signals};
 use futures_lite::future::yield_now;
 use futures_lite::{FutureExt, StreamExt};
@@ -17,17 +17,16 @@
 use plover_model::query::{AttemptId, QueryId, Reply};
 use plover_model::server::{ListScope, NodeId, NodeState, Outcome, Targets};
 use plover_model::time::{Micros, millis};
+use plover_ops::{Call, Census, Effect, Life, Stage};
 use plover_pacing::Pacing;
 use plover_runtime::clock::Clock;
+use plover_runtime::net;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use tracing::{info, warn};
 
-/// After a request to end, new connections are taken for this long: fronts notice late.
-const LEAVING: Micros = 600_000;
-
 /// One broker.
 pub struct Broker {
     clock: Clock,
@@ -47,7 +46,9 @@
     /// The turn's dispatches: they go out together at its end.
     dispatches: BTreeMap<AttemptId, Dispatch>,
     ended: Vec<Ended>,
-    leaving_since: Option<Micros>,
+    life: Life,
+    /// Files taken and turned down at SIGHUP.
+    sighup: (u64, u64),
 }
 
 /// Catches the signals that the program heeds, from now on.
@@ -60,21 +61,36 @@
     divide(clients, operator.http2()).map_err(io::Error::other)
 }
 
-/// Runs a broker until it is told to end; `started` is told where it listens, for HTTP/1.1 and HTTP/2.
+/// Where a broker listens.
+#[derive(Clone, Copy, Debug)]
+pub struct Addresses {
+    /// For clients with HTTP/1.1.
+    pub http1: SocketAddr,
+    /// For those with HTTP/2.
+    pub http2: Option<SocketAddr>,
+    /// For operators.
+    pub ops: Option<SocketAddr>,
+}
+
+/// Runs a broker until it is told to end; `started` is told where it listens.
 pub fn run(
     config: Config,
     operator: Operator,
     mut signals: Signals,
-    started: impl FnOnce(SocketAddr, Option<SocketAddr>),
+    started: impl FnOnce(Addresses),
 ) -> io::Result<()> {
     let executor = Rc::new(LocalExecutor::new());
     let inbox = Rc::new(Inbox::default());
     let clock = Clock::start();
     let limits = limits(config.clients, &operator)?;
-    let bind = |address| Async::<TcpListener>::bind(address);
-    let listener = bind(config.listen)?;
+    let listener = match config.inherited {
+        Some(fd) => net::inherit(fd, config.listen)?,
+        None => net::listen(config.listen)?,
+    };
     let listen = listener.get_ref().local_addr()?;
-    let http2 = operator.settings().http2.map(|h| bind(h.listen)).transpose()?;
+    let http2 = operator.settings().http2.map(|h| net::listen(h.listen)).transpose()?;
+    let door = config.ops.map(net::listen).transpose()?;
+    let ops = door.as_ref().map(|l| l.get_ref().local_addr()).transpose()?;
     let listen_http2 = http2.as_ref().map(|l| l.get_ref().local_addr()).transpose()?;
     let (on_signal, on_list) = (inbox.clone(), inbox.clone());
     let list: Sink = Rc::new(move |targets| on_list.put(Input::Targets(targets)));
@@ -95,18 +111,18 @@
         config.names.clone(),
         operator.routes(&config.names.classes),
     );
-    let plan = Plan { http1: listener, http2, limits };
+    let plan = Plan { http1: listener, http2, door, limits };
     let rev = config.known.rev;
     let tick = millis(config.settings.tick);
     let mut broker = Broker {
         clock,
         zones: config.names.zones,
-        classes: config.names.classes,
         tick,
         pacing: operator.pacing(tick),
         operator,
         clients: config.clients,
-        queries: Queries::new(&config.settings, config.max_open, config.seed),
+        queries: Queries::new(&config.settings, &config.names.classes, config.max_open, config.seed),
+        classes: config.names.classes,
         core: Core::new(config.settings, config.max_open, config.seed),
         upstream: Upstream::new(executor.clone(), inbox.clone(), config.pool),
         discovery: Discovery::start(executor.clone(), list, config.discovery, Some(rev)),
@@ -114,7 +130,8 @@
         fronts: Fronts::start(shared, plan, clock, executor.clone()),
         dispatches: BTreeMap::new(),
         ended: Vec::new(),
-        leaving_since: None,
+        life: Life::Serving,
+        sighup: (0, 0),
     };
     broker.learn(clock.now(), ListScope::Known, &config.known);
     info!(name: "started", name = %config.name, listen = %listen, rev);
@@ -122,7 +139,10 @@
         let (connections, streams) = (held.connections, held.streams);
         info!(name: "started_http2", listen = %listen, connections, streams);
     }
-    started(listen, listen_http2);
+    if let Some(listen) = ops {
+        info!(name: "started_ops", listen = %listen);
+    }
+    started(Addresses { http1: listen, http2: listen_http2, ops });
     async_io::block_on(executor.run(async {
         broker.turns().await;
     }));
@@ -136,8 +156,9 @@
         loop {
             let now = self.clock.now();
             self.turn(now);
-            let leaving = self.leaving_since.map(|since| since + LEAVING);
-            if leaving.is_some_and(|at| now >= at) {
+            let effect = self.life.tick(now);
+            self.go(effect);
+            if self.life == Life::Gone {
                 self.fronts.close().await;
                 if self.fronts.open() == 0 && self.queries.is_empty() {
                     return;
@@ -145,13 +166,7 @@
             }
             let closing = self.fronts.is_closing().then_some(now + self.tick);
             let ended = (self.upstream.has_ended() || !self.ended.is_empty()).then_some(now);
-            let due = [
-                Some(self.core.due()),
-                Some(self.upstream.due()),
-                leaving.filter(|at| now < *at),
-                closing,
-                ended,
-            ];
+            let due = [Some(self.core.due()), Some(self.upstream.due()), self.life.due(), closing, ended];
             let due = due.into_iter().flatten().min().unwrap_or(Micros::MAX);
             self.pause(now, due).await;
         }
@@ -186,6 +201,7 @@
 
     fn turn(&mut self, now: Micros) {
         let mut asks = Vec::new();
+        let mut calls = Vec::new();
         for input in self.inbox.take() {
             match input {
                 Input::Ask(id, connection, ask, reply) => asks.push((id, connection, ask, reply)),
@@ -198,6 +214,7 @@
                 Input::Targets(targets) => self.learn(now, targets.scope(), &targets),
                 Input::Reload => self.reload(),
                 Input::Terminate => self.terminate(now),
+                Input::Operator(call, answer) => calls.push((call, answer)),
             }
         }
         let reports = self.take_reports(now);
@@ -213,6 +230,45 @@
         let sends = sends.into_values().filter_map(|d| self.send(now, d)).collect();
         self.upstream.dispatch(now, sends);
         self.upstream.sweep(now);
+        for (call, answer) in calls {
+            // A caller that has gone needs none.
+            let _ = answer.try_send(self.operate(now, call));
+        }
+    }
+
+    /// Heeds an operator's call: a status, and a text.
+    fn operate(&mut self, now: Micros, call: Call) -> (u16, String) {
+        let changed = match call {
+            Call::Ready => {
+                return (if self.life.is_ready() { 200 } else { 503 }, self.life.name().to_owned());
+            }
+            Call::Telemetry => return (200, self.queries.figures(&self.census(now))),
+            Call::Evacuate => self.life.evacuate(now),
+            Call::Rejoin => self.life.rejoin(),
+        };
+        let Ok(effect) = changed else { return (409, "leaving: it is to end".to_owned()) };
+        if effect != Effect::None {
+            info!(name: "operated", call = ?call, life = self.life.name(), open_queries = self.queries.len());
+        }
+        self.go(effect);
+        (200, self.life.name().to_owned())
+    }
+
+    /// What the books do not hold.
+    fn census(&self, now: Micros) -> Census {
+        let (discovered, ejected) = self.core.census(now);
+        let (applied, rejected) = self.sighup;
+        Census { forwards: self.upstream.forwards(), discovered, ejected, applied, rejected }
+    }
+
+    /// What a change of life asks of the fronts. Those that close their doors wait for what the system has accepted,
+    /// which the loop does between two turns.
+    fn go(&mut self, effect: Effect) {
+        if let Effect::Go(stage) = effect
+            && stage != Stage::Closing
+        {
+            self.fronts.go(stage);
+        }
     }
 
     /// Takes news of the list: the decisions and the pools learn of it in the same turn.
@@ -250,17 +306,21 @@
                 self.fronts.set_routes(self.operator.routes(&self.classes));
                 info!(name: "reloaded", discovery = %discovery);
                 self.discovery.move_to(discovery);
+                self.sighup.0 += 1;
+            }
+            Err(error) => {
+                self.sighup.1 += 1;
+                warn!(name: "reload_failed", error = %error);
             }
-            Err(error) => warn!(name: "reload_failed", error = %error),
         }
     }
 
     fn terminate(&mut self, now: Micros) {
-        if self.leaving_since.is_none() {
+        let effect = self.life.terminate(now);
+        if effect != Effect::None {
             info!(name: "leaving", open_queries = self.queries.len());
-            self.leaving_since = Some(now);
-            self.fronts.leave();
         }
+        self.go(effect);
     }
 
     /// What ended since the last turn, for the decisions; the values stay here, with their queries.
--- a/crates/broker/src/upstream/line.rs
+++ b/crates/broker/src/upstream/line.rs
@@ -40,16 +40,17 @@
     writing: RefCell<Option<Vec<String>>>,
     bell: (Sender<()>, Receiver<()>),
     up: Cell<bool>,
+    /// Attempts written whole, on all connections together.
+    forwards: Rc<Cell<u64>>,
 }
 
-impl Default for Line {
-    fn default() -> Self {
+impl Line {
+    pub(super) fn new(forwards: Rc<Cell<u64>>) -> Self {
         let bell = async_channel::bounded(1);
-        Line { waiting: RefCell::default(), writing: RefCell::default(), bell, up: Cell::new(false) }
+        let up = Cell::new(false);
+        Line { waiting: RefCell::default(), writing: RefCell::default(), bell, up, forwards }
     }
-}
 
-impl Line {
     pub(super) fn put(&self, item: Item) {
         self.waiting.borrow_mut().push_back(item);
         let _ = self.bell.0.try_send(());
@@ -106,7 +107,8 @@
 
     /// The frame that was being written is out.
     pub(super) fn written(&self) {
-        *self.writing.borrow_mut() = None;
+        let parts = self.writing.borrow_mut().take().map_or(0, |parts| parts.len());
+        self.forwards.set(self.forwards.get() + parts as u64);
     }
 
     /// The next frame to write.
--- a/crates/broker/src/upstream/mod.rs
+++ b/crates/broker/src/upstream/mod.rs
@@ -14,6 +14,7 @@
 use plover_model::query::AttemptId;
 use plover_model::server::{NodeId, Outcome};
 use plover_model::time::{MILLI, Micros};
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -104,6 +105,7 @@
     flights: BTreeMap<AttemptId, Flight>,
     deadlines: BTreeSet<(Micros, AttemptId)>,
     ended: Vec<Ended>,
+    forwards: Rc<Cell<u64>>,
 }
 
 impl Upstream {
@@ -119,6 +121,7 @@
             flights: BTreeMap::new(),
             deadlines: BTreeSet::new(),
             ended: Vec::new(),
+            forwards: Rc::default(),
         }
     }
 
@@ -209,7 +212,7 @@
         }
         let id = self.next_conn;
         self.next_conn += 1;
-        let line = Rc::new(Line::default());
+        let line = Rc::new(Line::new(self.forwards.clone()));
         let task = line::run(id, endpoint, self.limits.dial_timeout, line.clone(), self.inbox.clone());
         let conn = Conn {
             server: name.clone(),
@@ -406,6 +409,11 @@
         self.flights.len()
     }
 
+    /// Attempts written whole to data servers since the start.
+    pub fn forwards(&self) -> u64 {
+        self.forwards.get()
+    }
+
     /// Whether some have ended that were not taken.
     pub fn has_ended(&self) -> bool {
         !self.ended.is_empty()
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -15,6 +15,8 @@
 /// Most descriptors that are neither a client's nor a data server's connection: listener, discovery, the event
 /// queue, signals, standard streams, and connections that are just being refused.
 const OWN_SOCKETS: u64 = 32;
+/// Descriptors for operators, where they have a door: its listener, its seats, and one that is being turned away.
+const OPS_SOCKETS: u64 = 18;
 /// The least descriptors to serve with.
 const LEAST_SOCKETS: u64 = 64;
 /// Share of the memory that clients' connections may fill, and the most that one holds while it sends a request.
@@ -33,6 +35,10 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where operators call, if anywhere.
+    pub ops: Option<SocketAddr>,
+    /// The descriptor on which the platform holds the clients' listening socket, where it does.
+    pub inherited: Option<i32>,
     /// Where discovery is.
     pub discovery: SocketAddr,
     /// For random numbers.
@@ -86,6 +92,7 @@
     };
     let seed = m.text("seed")?;
     let seed = u64::from_str_radix(seed, 16).or_else(|_| m.bad("seed", "is not 16 hex digits"))?;
+    let env_of = |key: &str| env(key);
     let env = m.inner("settings")?;
     let site = settings::decode(&env)?;
     if site.class_names.is_empty() || site.class_names.iter().any(String::is_empty) {
@@ -120,13 +127,25 @@
     if memory.is_some_and(|bytes| bytes < CLIENT_HOLDS) {
         return m.inner("limits")?.bad("memory_mb", "is too small to serve with");
     }
-    let shared = sockets.min(SOCKETS) - OWN_SOCKETS;
+    let ops = match (env_of("RELAY_OPS"), m.get("ops")) {
+        (None, None) => None,
+        _ => Some(address("RELAY_OPS", "ops")?),
+    };
+    let inherited = match env_of("RELAY_FD").map(|text| (text.parse::<i32>(), text)) {
+        None => None,
+        Some((Ok(fd), _)) if fd >= 0 => Some(fd),
+        Some((_, text)) => return Err(format!("RELAY_FD: {text:?} is not the number of a descriptor")),
+    };
+    let own = OWN_SOCKETS + ops.map_or(0, |_| OPS_SOCKETS);
+    let shared = sockets.min(SOCKETS) - own;
     let known = m.get("known").ok_or("RELAY_CONFIG: field known is missing")?;
     let known: Targets =
         serde_json::from_value(known.clone()).map_err(|e| format!("RELAY_CONFIG: field known: {e}"))?;
     Ok(Config {
         name: text("RELAY_NAME", "name")?,
         listen: address("RELAY_LISTEN", "listen")?,
+        ops,
+        inherited,
         discovery: address("RELAY_DISCOVERY", "discovery")?,
         seed,
         known,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -273,6 +273,13 @@
         self.aggregator.views(to_ms(now)).into_iter().filter_map(view).collect()
     }
 
+    /// How many servers the list has, and how many of these the decisions avoid now.
+    pub fn census(&self, now: Micros) -> (u64, u64) {
+        let views = self.aggregator.views(to_ms(now));
+        let ejected = views.iter().filter(|v| v.ejected_until.is_some()).count();
+        (views.len() as u64, ejected as u64)
+    }
+
     /// Takes what others saw at the servers. It counts as attempts of the first class.
     pub fn report_bulk(&mut self, now: Micros, reports: Vec<Seen>) {
         let bulk = |s: Seen| Bulk {
--- a/crates/http1/src/decode.rs
+++ b/crates/http1/src/decode.rs
@@ -139,7 +139,8 @@
     let fields = head::fields(head.headers)?;
     head::host(&fields, version)?;
     let framing = match head::framing(&fields, version)? {
-        None if [Method::POST, Method::PUT, Method::PATCH].contains(&method) => {
+        // A PUT may say all in its target, and then has no body (section 6.3).
+        None if [Method::POST, Method::PATCH].contains(&method) => {
             return Err(Fault::LengthRequired);
         }
         framing => framing.unwrap_or(Framing::Length(0)),
--- a/crates/ploverport/src/cli.rs
+++ b/crates/ploverport/src/cli.rs
@@ -142,6 +142,9 @@
     /// Where clients with HTTP/2 connect
     #[arg(long, value_name = "ADDR", default_value = "127.0.0.1:8081")]
     pub(crate) http2: SocketAddr,
+    /// Where operators call; without it there is no door for them
+    #[arg(long, value_name = "ADDR")]
+    pub(crate) ops: Option<SocketAddr>,
     /// Stand-in data servers
     #[arg(long, value_name = "N", default_value_t = 4, value_parser = clap::value_parser!(u16).range(1..=64))]
     pub(crate) servers: u16,
--- a/crates/ploverport/src/demo.rs
+++ b/crates/ploverport/src/demo.rs
@@ -3,6 +3,7 @@
 use crate::cli::DemoArguments;
 use crate::serve::{cannot_start, run_with};
 use plover_broker::operator::Operator;
+use plover_broker::turns::Addresses;
 use plover_standins::{Deployment, Fleet, Plan};
 use std::io::Write;
 use std::net::SocketAddr;
@@ -16,14 +17,18 @@
         Ok(fleet) => fleet,
         Err(error) => return cannot_start(&error),
     };
-    let configuration = Deployment::default().configuration(&fleet, &arguments.listen.to_string());
+    let mut configuration = Deployment::default().configuration(&fleet, &arguments.listen.to_string());
+    if let Some(ops) = arguments.ops {
+        configuration["ops"] = ops.to_string().into();
+    }
     let text = format!("listen-http2 {}\ngather-time 5ms\n", arguments.http2);
     let read = || Ok((plover_config::check(&configuration, |_| None)?, Operator::of_text("demo", &text)?));
     let servers = fleet.servers().len();
-    run_with(read, |http1, http2| welcome(servers, http1, http2))
+    run_with(read, |at| welcome(servers, at))
 }
 
-fn welcome(servers: usize, http1: SocketAddr, http2: Option<SocketAddr>) {
+fn welcome(servers: usize, at: Addresses) {
+    let Addresses { http1, http2, ops } = at;
     let curl = |options: &str, address: SocketAddr| {
         format!(
             "curl -sS {options}http://{address}/lookup -H \"X-Request-Id: demo-$(date +%s%N)\" -H 'X-Tenant: public-site' \
@@ -37,6 +42,12 @@
     if let Some(http2) = http2 {
         text += &format!("\nHTTP/2 on {http2}:\n\n  {}", curl("--http2-prior-knowledge ", http2));
     }
+    if let Some(ops) = ops {
+        text += &format!(
+            "\nOperators on {ops}:\n\n  curl -sS http://{ops}/api/telemetry\n  curl -sS -X PUT http://{ops}/api/evacuate\n  \
+             curl -sS http://{ops}/api/ready\n  curl -sS -X PUT http://{ops}/api/rejoin\n"
+        );
+    }
     text += "\nCtrl-C ends it.\n\n";
     let _ = std::io::stdout().write_all(text.as_bytes());
 }
--- a/crates/ploverport/src/serve.rs
+++ b/crates/ploverport/src/serve.rs
@@ -1,9 +1,8 @@
 //! `ploverport` and `ploverport serve`.
 
 use plover_broker::operator::{Operator, platform};
-use plover_broker::turns;
+use plover_broker::turns::{self, Addresses};
 use plover_config::Config;
-use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use tracing::{Level, error};
@@ -16,13 +15,13 @@
         operator.set_log();
         Ok((config, operator))
     };
-    run_with(read, |_, _| ())
+    run_with(read, |_| ())
 }
 
 /// Serves what is read here, once signals are caught: a SIGHUP that came before would end the program.
 pub(crate) fn run_with(
     read: impl FnOnce() -> Result<(Config, Operator), String>,
-    started: impl FnOnce(SocketAddr, Option<SocketAddr>),
+    started: impl FnOnce(Addresses),
 ) -> ExitCode {
     plover_telemetry::init(plover_telemetry::Format::Logfmt, Level::INFO);
     let signals = match turns::signals() {
--- a/crates/query/src/answer.rs
+++ b/crates/query/src/answer.rs
@@ -47,6 +47,13 @@
     response
 }
 
+/// A text for a person or a script, with the methods that are allowed instead, if any.
+pub fn plain(status: u16, allow: &'static str, text: &str) -> Response {
+    let mut response = error(status, allow, text.trim_end());
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/plain; charset=utf-8"));
+    response
+}
+
 /// The answer to `OPTIONS *`, which asks about the server as a whole.
 pub(crate) fn options() -> Response {
     error(204, "GET, HEAD, OPTIONS, POST", "")
--- a/crates/query/src/lib.rs
+++ b/crates/query/src/lib.rs
@@ -5,7 +5,7 @@
 mod answer;
 mod ask;
 
-pub use answer::{Response, date, final_answer, refuse_connection};
+pub use answer::{Response, date, final_answer, plain, refuse_connection};
 pub use ask::decode;
 
 use brookbend::api::Settings;
--- a/crates/runtime/src/net.rs
+++ b/crates/runtime/src/net.rs
@@ -3,9 +3,11 @@
 use async_io::Async;
 use futures_lite::AsyncRead;
 use futures_lite::future::yield_now;
+use rustix::process::{PidfdFlags, PidfdGetfdFlags, getpid, pidfd_getfd, pidfd_open};
+use socket2::{Domain, Socket, Type};
 use std::future::poll_fn;
 use std::io;
-use std::net::{Shutdown, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::pin::Pin;
 use std::task::ready;
 use std::time::Duration;
@@ -18,6 +20,38 @@
 /// Steps in which a connection's buffer grows, and the most that one read takes.
 const STEP: usize = 16 * 1024;
 
+/// Connections that may wait to be accepted. A crowd connects faster than one thread accepts, and what finds no place in
+/// the queue tries again only a second later.
+const BACKLOG: i32 = 1024;
+
+/// Listens at an address.
+pub fn listen(address: SocketAddr) -> io::Result<Async<TcpListener>> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    Async::new(socket.into())
+}
+
+/// Takes over the listening socket that the platform holds for this address, as a descriptor of our own that no child
+/// inherits. The error says what is wrong with what was handed in.
+pub fn inherit(fd: i32, address: SocketAddr) -> io::Result<Async<TcpListener>> {
+    let wrong = |what: String| io::Error::other(format!("RELAY_FD: descriptor {fd} {what}"));
+    let me = pidfd_open(getpid(), PidfdFlags::empty())?;
+    // The one way to a descriptor by its number that trusts nobody's word: a copy, checked by the system.
+    let copy = pidfd_getfd(&me, fd, PidfdGetfdFlags::empty())
+        .map_err(|e| wrong(format!("cannot be taken over: {}", io::Error::from(e))))?;
+    let socket = Socket::from(copy);
+    if !socket.is_listener().unwrap_or(false) {
+        return Err(wrong("is no listening socket".to_owned()));
+    }
+    let own = socket.local_addr()?.as_socket();
+    if own.is_none_or(|own| own != address && address.port() != 0) {
+        return Err(wrong(format!("listens at {own:?}, not at {address}")));
+    }
+    Async::new(socket.into())
+}
+
 /// Appends what the socket has, waiting until there is something; 0: the peer has closed. Nothing is taken from
 /// the socket unless this returns, so that it may be dropped while it waits.
 ///
