--- a/crates/admission/src/shares.rs
+++ b/crates/admission/src/shares.rs
@@ -53,6 +53,11 @@
         }
     }
 
+    /// Other room, from now on; what is held stays.
+    pub fn set_room(&mut self, room: usize) {
+        self.room = room;
+    }
+
     /// Queries and parts that are held.
     pub fn held(&self) -> usize {
         self.held
--- a/crates/broker/src/front/http1.rs
+++ b/crates/broker/src/front/http1.rs
@@ -54,7 +54,7 @@
     }
 
     fn turn_away(&self, stream: &Async<TcpStream>) {
-        let response = self.shared.dated(refuse_connection(&self.shared.settings));
+        let response = self.shared.dated(refuse_connection(&self.shared.terms.borrow()));
         let _ = stream.get_ref().write(&encode_response(&response, LAST));
         let _ = stream.get_ref().shutdown(Shutdown::Write);
     }
--- a/crates/broker/src/front/mod.rs
+++ b/crates/broker/src/front/mod.rs
@@ -17,27 +17,23 @@
 use async_channel::{Receiver, Sender};
 use async_executor::{LocalExecutor, Task};
 use async_io::Async;
-use brookbend::api::Settings;
 use http::header::{DATE, HeaderValue};
 use plover_admission::{Connection, budget};
-use plover_model::query::Names;
+use plover_model::time::Micros;
 use plover_ops::Stage;
-use plover_query::{Response, Routed, date, route};
-use plover_routes::Routes;
+use plover_query::{Changing, Response, Routed, Terms, date, route};
 use plover_runtime::clock::Clock;
 use std::cell::{Cell, RefCell};
 use std::net::TcpListener;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
 /// What all fronts share.
 pub struct Shared {
     inbox: Rc<Inbox>,
-    settings: Settings,
-    names: Names,
-    /// What the operator sets for queries that come from now on.
-    routes: RefCell<Arc<Routes>>,
+    clock: Clock,
+    /// What requests are read by.
+    terms: RefCell<Changing>,
     stage: Cell<Stage>,
     /// Closed, and replaced, when the stage changes.
     moved: RefCell<(Sender<()>, Receiver<()>)>,
@@ -48,12 +44,12 @@
 
 impl Shared {
     /// For a program that serves.
-    pub fn new(inbox: Rc<Inbox>, settings: Settings, names: Names, routes: Arc<Routes>) -> Rc<Self> {
-        let routes = RefCell::new(routes);
+    pub fn new(inbox: Rc<Inbox>, clock: Clock, terms: Terms) -> Rc<Self> {
+        let terms = RefCell::new(Changing::new(terms));
         let date = RefCell::new((Instant::now(), date(SystemTime::now())));
         let (stage, connections) = (Cell::new(Stage::Serving), Cell::new(0));
         let moved = RefCell::new(async_channel::bounded(1));
-        Rc::new(Shared { inbox, settings, names, routes, stage, moved, connections, date })
+        Rc::new(Shared { inbox, clock, terms, stage, moved, connections, date })
     }
 
     fn stage(&self) -> Stage {
@@ -78,8 +74,7 @@
     }
 
     fn route(&self, request: &http::Request<Vec<u8>>) -> Routed {
-        let routes = self.routes.borrow();
-        route(request, self.stage() == Stage::Serving, &self.names, &self.settings, &routes)
+        route(request, self.stage() == Stage::Serving, &self.terms.borrow(), self.clock.now())
     }
 
     /// With the time at which the answer is made (RFC 9110, section 6.6.1).
@@ -158,9 +153,9 @@
         }
     }
 
-    /// Takes other routes, for queries that come from now on.
-    pub fn set_routes(&self, routes: Arc<Routes>) {
-        *self.shared.routes.borrow_mut() = routes;
+    /// Takes other terms, told at this moment.
+    pub fn change(&self, at: Micros, terms: Terms) {
+        self.shared.terms.borrow_mut().change(at, terms);
     }
 
     /// Goes by another stage; with [`Stage::Empty`] idle connections are closed. For [`Stage::Closing`] there is
@@ -200,7 +195,6 @@
 mod tests {
     use super::seats::{Rank, Seats};
     use super::*;
-    use brookbend::settings::{Message, decode};
     use futures_lite::future::yield_now;
     use plover_runtime::clock::limited;
     use std::net::TcpStream;
@@ -209,10 +203,7 @@
     /// and new connections were not taken meanwhile.
     #[test]
     fn accepting_goes_on_where_one_that_was_to_make_room_stays() {
-        let settings: serde_json::Value =
-            serde_json::from_str(include_str!("../../../model/tests/settings.json")).unwrap();
-        let site = decode(&Message::new("settings", settings.as_object().unwrap())).unwrap();
-        let shared = Shared::new(Rc::default(), site.settings, Names::default(), Arc::default());
+        let shared = Shared::new(Rc::default(), Clock::start(), Terms::default());
         let executor = Rc::new(LocalExecutor::new());
         let front = Rc::new(Http1::new(shared, 2));
         let seats: Rc<Seats> = accept::Serve::seats(&*front).clone();
--- a/crates/broker/src/operator.rs
+++ b/crates/broker/src/operator.rs
@@ -90,9 +90,10 @@
         read_checked(&name, &read_text(path)?, platform).map_err(|faults| faults.to_string())
     }
 
-    /// Reads the file again, whole or not at all: nothing is changed by this.
-    pub fn reread(&self) -> Result<Settings, String> {
-        let parse = |path| Self::parse(path, self.platform.as_ref());
+    /// Reads the file again, whole or not at all, and holds it against the platform's rules as they will be: nothing is
+    /// changed by this.
+    pub fn reread(&self, platform: &Platform) -> Result<Settings, String> {
+        let parse = |path| Self::parse(path, self.platform.is_some().then_some(platform));
         self.path.as_deref().map_or_else(|| Ok(self.settings.clone()), parse)
     }
 
@@ -102,7 +103,8 @@
     }
 
     /// Takes what was read while the program runs, and logs what takes effect and what waits for a restart.
-    pub fn adopt(&mut self, new: &Settings) {
+    pub fn adopt(&mut self, new: &Settings, platform: Platform) {
+        self.platform = self.platform.take().map(|_| platform);
         let changes = self.settings.changes(new);
         self.adopt_quietly(new);
         self.set_log();
--- a/crates/broker/src/queries.rs
+++ b/crates/broker/src/queries.rs
@@ -43,6 +43,16 @@
     1 + ask.parts.len()
 }
 
+/// For how long repeats of a part are dropped, at the least, and how long clients come back after that.
+fn repeat_times(settings: &Settings) -> (Micros, Micros) {
+    let window = settings.classes.iter().filter_map(|c| match c.semantics {
+        Semantics::Keyed { window } => Some(millis(window)),
+        _ => None,
+    });
+    let keep = settings.classes.iter().map(|c| millis(c.give_up)).max();
+    (window.min().unwrap_or(NO_WINDOW), keep.unwrap_or(0))
+}
+
 /// What a reply is in the books; a request that cannot be used was never taken.
 fn end_of(reply: &Reply) -> Option<End> {
     match reply {
@@ -83,16 +93,12 @@
     pub(crate) fn new(settings: &Settings, classes: &[String], room: usize, seed: u64) -> Self {
         let mut books = Books::default();
         let rows = classes.iter().map(|name| books.row(name)).collect();
-        let window = settings.classes.iter().filter_map(|c| match c.semantics {
-            Semantics::Keyed { window } => Some(millis(window)),
-            _ => None,
-        });
-        let keep = settings.classes.iter().map(|c| millis(c.give_up)).max();
+        let (window, keep) = repeat_times(settings);
         Queries {
             pending: BTreeMap::new(),
             ids: BTreeSet::new(),
             shares: Shares::new(room),
-            repeats: Repeats::new(window.min().unwrap_or(NO_WINDOW), keep.unwrap_or(0), KEYS),
+            repeats: Repeats::new(window, keep, KEYS),
             gate: Gate::new(seed),
             keyed: BTreeMap::new(),
             max_retry_after: settings.max_retry_after.map(millis),
@@ -101,6 +107,15 @@
         }
     }
 
+    /// Goes by other settings for queries that come from now on; those in hand keep what they have.
+    pub(crate) fn retune(&mut self, settings: &Settings, classes: &[String], room: usize) {
+        let (window, keep) = repeat_times(settings);
+        self.repeats.retune(window, keep);
+        self.shares.set_room(room);
+        self.max_retry_after = settings.max_retry_after.map(millis);
+        self.rows = classes.iter().map(|name| self.books.row(name)).collect();
+    }
+
     /// Queries in hand.
     pub(crate) fn len(&self) -> usize {
         self.pending.len()
--- a/crates/broker/src/turns.rs
+++ b/crates/broker/src/turns.rs
@@ -2,23 +2,26 @@
 
 use crate::front::{Fronts, Plan, Shared};
 use crate::inbox::{Inbox, Input};
-use crate::operator::Operator;
+use crate::operator::{Operator, platform};
 use crate::queries::{Held, Queries};
 use crate::upstream::{Ended, Send, Upstream};
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use async_signal::{Signal, Signals};
+use brookbend::api::Settings;
 use futures_lite::future::yield_now;
 use futures_lite::{FutureExt, StreamExt};
 use plover_admission::budget::{self, Given, divide};
-use plover_config::{self as config, Config};
-use plover_core::{Core, Decisions, Dispatch, Final, Report, Verdict};
+use plover_config::{self as config, Config, InForce};
+use plover_core::{Core, Decisions, Dispatch, Final, Placed, Report, Verdict};
 use plover_discovery::{Discovery, Sink};
+use plover_model::limits::PoolLimits;
 use plover_model::query::{AttemptId, QueryId, Reply};
 use plover_model::server::{ListScope, NodeId, NodeState, Outcome, Targets};
 use plover_model::time::{Micros, millis};
 use plover_ops::{Call, Census, Effect, Life, Stage};
 use plover_pacing::Pacing;
+use plover_query::{BINDS, Terms};
 use plover_runtime::clock::Clock;
 use plover_runtime::net;
 use std::collections::{BTreeMap, BTreeSet};
@@ -31,7 +34,8 @@
 pub struct Broker {
     clock: Clock,
     zones: Vec<String>,
-    classes: Vec<String>,
+    /// What the platform said, and was taken last.
+    in_force: InForce,
     tick: Micros,
     pacing: Pacing,
     operator: Operator,
@@ -105,25 +109,25 @@
             }
         })
         .detach();
-    let shared = Shared::new(
-        inbox.clone(),
-        config.settings.clone(),
-        config.names.clone(),
-        operator.routes(&config.names.classes),
-    );
+    let terms = Terms {
+        names: config.names.clone(),
+        settings: Some(config.settings.clone()),
+        routes: operator.routes(&config.names.classes),
+    };
+    let shared = Shared::new(inbox.clone(), clock, terms);
     let plan = Plan { http1: listener, http2, door, limits };
     let rev = config.known.rev;
     let tick = millis(config.settings.tick);
     let mut broker = Broker {
         clock,
-        zones: config.names.zones,
+        zones: config.names.zones.clone(),
+        in_force: config.in_force,
         tick,
         pacing: operator.pacing(tick),
         operator,
         clients: config.clients,
         queries: Queries::new(&config.settings, &config.names.classes, config.max_open, config.seed),
-        classes: config.names.classes,
-        core: Core::new(config.settings, config.max_open, config.seed),
+        core: Core::new(config.settings, config.max_open, config.seed).named(&config.names),
         upstream: Upstream::new(executor.clone(), inbox.clone(), config.pool),
         discovery: Discovery::start(executor.clone(), list, config.discovery, Some(rev)),
         inbox,
@@ -212,7 +216,7 @@
                 }
                 Input::Line(id, event) => self.upstream.hear(now, id, event),
                 Input::Targets(targets) => self.learn(now, targets.scope(), &targets),
-                Input::Reload => self.reload(),
+                Input::Reload => self.reload(now),
                 Input::Terminate => self.terminate(now),
                 Input::Operator(call, answer) => calls.push((call, answer)),
             }
@@ -289,23 +293,29 @@
 
     /// Takes the configuration and the operator's file as they are now: both or none. A file that is missing or
     /// faulty leaves all as it was: a slip of the pen must not end a broker that serves.
-    fn reload(&mut self) {
+    fn reload(&mut self, now: Micros) {
         let read = || -> Result<_, String> {
-            let config = config::reread(config::environment)?;
-            let settings = self.operator.reread()?;
+            let config = config::reread(&self.in_force, config::environment)?;
+            let platform = platform(&config);
+            let settings = self.operator.reread(&platform)?;
             let mut operator = self.operator.clone();
             operator.adopt_quietly(&settings);
             let limits = divide(self.clients, operator.http2())?;
-            Ok((config.discovery, settings, limits))
+            let placed = self.core.plan(now, &config.settings, &config.names).map_err(|e| e.to_string())?;
+            Ok((config, platform, settings, limits, placed))
         };
         match read() {
-            Ok((discovery, settings, limits)) => {
-                self.operator.adopt(&settings);
-                self.pacing = self.operator.pacing(self.tick);
+            Ok((config, platform, settings, limits, placed)) => {
+                self.operator.adopt(&settings, platform);
                 self.fronts.set_limits(limits);
-                self.fronts.set_routes(self.operator.routes(&self.classes));
-                info!(name: "reloaded", discovery = %discovery);
-                self.discovery.move_to(discovery);
+                let waits = self.in_force.waits(&config.in_force);
+                if !waits.is_empty() {
+                    warn!(name: "restart_needed", changed = waits.join(","));
+                }
+                self.in_force = config.in_force;
+                self.retune(now, &config.settings, config.max_open, config.pool, &placed);
+                info!(name: "reloaded", discovery = %config.discovery, classes = config.names.classes.join(","));
+                self.discovery.move_to(config.discovery);
                 self.sighup.0 += 1;
             }
             Err(error) => {
@@ -315,6 +325,22 @@
         }
     }
 
+    /// Goes by other settings, each part of the program for itself.
+    fn retune(&mut self, now: Micros, settings: &Settings, room: usize, pool: PoolLimits, placed: &Placed) {
+        self.tick = millis(settings.tick);
+        self.pacing = self.operator.pacing(self.tick);
+        self.zones.clone_from(&placed.names.zones);
+        self.queries.retune(&placed.settings, &placed.names.classes, room);
+        self.core.retune(placed, room, now + BINDS);
+        self.upstream.set_limits(pool);
+        let terms = Terms {
+            names: placed.names.clone(),
+            settings: Some(placed.settings.clone()),
+            routes: self.operator.routes(&placed.names.classes),
+        };
+        self.fronts.change(now, terms);
+    }
+
     fn terminate(&mut self, now: Micros) {
         let effect = self.life.terminate(now);
         if effect != Effect::None {
--- a/crates/broker/src/upstream/mod.rs
+++ b/crates/broker/src/upstream/mod.rs
@@ -125,6 +125,11 @@
         }
     }
 
+    /// Other limits, for what is dialled and sent from now on; descriptors stay what they are.
+    pub fn set_limits(&mut self, limits: PoolLimits) {
+        self.limits = PoolLimits { sockets: self.limits.sockets, ..limits };
+    }
+
     /// Takes where a server is to be called; `None`: it wants nothing new, or is gone. What waits unsent for
     /// one that left or moved is taken back.
     pub fn learn(&mut self, now: Micros, name: NodeId, endpoint: Option<SocketAddr>) {
--- a/crates/brookbend/src/api.rs
+++ b/crates/brookbend/src/api.rs
@@ -38,7 +38,7 @@
 }
 
 /// One class of query.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     /// An answer within this time earns full worth.
     pub aim: Ms,
--- a/crates/brookbend/src/choice.rs
+++ b/crates/brookbend/src/choice.rs
@@ -136,7 +136,7 @@
     pub(crate) learned: Vec<Learned>,
     pub(crate) fleet_pace: f64,
     next_second: Ms,
-    tenant_taken: Vec<VecDeque<Ms>>,
+    pub(crate) tenant_taken: Vec<VecDeque<Ms>>,
     ask_at: Option<Ms>,
     ask_wait: Ms,
     /// When the next batch is due.
--- a/crates/brookbend/src/lib.rs
+++ b/crates/brookbend/src/lib.rs
@@ -50,9 +50,11 @@
 
 pub mod api;
 pub mod choice;
+mod retune;
 pub mod room;
 pub mod settings;
 mod state;
 pub mod view;
 
 pub use choice::Aggregator;
+pub use retune::Begun;
--- a/crates/brookbend/src/state.rs
+++ b/crates/brookbend/src/state.rs
@@ -44,7 +44,7 @@
 }
 
 /// What one class has met at a server.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub(crate) struct OfClass {
     pub(crate) errors: f64,
     pub(crate) last_served_sent: Ms,
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,13 +1,14 @@
 //! The one place where the environment and the configuration file are read, checked and given defaults.
 
-use brookbend::api::Settings;
-use brookbend::settings::{self, Message};
+use brookbend::api::{Semantics, Settings};
+use brookbend::settings::{self, Message, Site};
 use plover_admission::budget::Given;
 use plover_model::limits::PoolLimits;
 use plover_model::query::Names;
 use plover_model::server::Targets;
 use plover_model::time::millis;
 use serde_json::Value;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 /// Sockets where the configuration names no limit: the least that deployments give.
@@ -39,6 +40,8 @@
     pub ops: Option<SocketAddr>,
     /// The descriptor on which the platform holds the clients' listening socket, where it does.
     pub inherited: Option<i32>,
+    /// What another file is held against at SIGHUP.
+    pub in_force: InForce,
     /// Where discovery is.
     pub discovery: SocketAddr,
     /// For random numbers.
@@ -62,10 +65,71 @@
     std::env::var(key).ok().filter(|v| !v.is_empty())
 }
 
-/// Reads the configuration again, as SIGHUP asks. The file was written later than the environment, so that its
+/// What was taken last from the platform, so far as another file is held against it.
+#[derive(Clone, Debug, Default)]
+pub struct InForce {
+    keys: BTreeSet<String>,
+    /// What takes a restart to change, by name.
+    fixed: Vec<(&'static str, String)>,
+}
+
+impl InForce {
+    fn of(value: &Value, name: &str, listen: &SocketAddr, ops: Option<SocketAddr>) -> Self {
+        let mut keys = BTreeSet::new();
+        shape(value, "", &mut keys);
+        let seed = value.get("seed").and_then(Value::as_str).unwrap_or_default();
+        let limits = value.get("limits").map(Value::to_string).unwrap_or_default();
+        let fixed = vec![
+            ("name", name.to_owned()),
+            ("listen", listen.to_string()),
+            ("ops", format!("{ops:?}")),
+            ("seed", seed.to_owned()),
+            ("limits", limits),
+        ];
+        InForce { keys, fixed }
+    }
+
+    /// What another file changes that takes a restart.
+    pub fn waits(&self, new: &InForce) -> Vec<&'static str> {
+        let differs = |(old, new): &(&(&'static str, String), &(&'static str, String))| old != new;
+        self.fixed.iter().zip(&new.fixed).filter(differs).map(|(old, _)| old.0).collect()
+    }
+}
+
+/// The keys of a configuration, with their paths; of a list's objects, those that all of them have. The list of servers is
+/// left out: it comes and goes by itself.
+fn shape(value: &Value, path: &str, keys: &mut BTreeSet<String>) {
+    match value {
+        Value::Object(fields) => {
+            for (key, value) in fields {
+                let path = format!("{path}/{key}");
+                if path != "/known" {
+                    shape(value, &path, keys);
+                }
+                keys.insert(path);
+            }
+        }
+        Value::Array(items) if items.iter().any(Value::is_object) => {
+            let of = |item: &Value| {
+                let mut keys = BTreeSet::new();
+                shape(item, path, &mut keys);
+                keys
+            };
+            let common = items.iter().map(of).reduce(|a, b| &a & &b);
+            keys.extend(common.unwrap_or_default());
+        }
+        _ => {}
+    }
+}
+
+/// Reads the configuration again, as SIGHUP asks. One that lacks a key that the one in force has was cut or is not meant. The file was written later than the environment, so that its
 /// `discovery` is the one that holds now.
-pub fn reread(env: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
-    read(|key| if key == "RELAY_DISCOVERY" { None } else { env(key) })
+pub fn reread(in_force: &InForce, env: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+    let config = read(|key| if key == "RELAY_DISCOVERY" { None } else { env(key) })?;
+    match in_force.keys.difference(&config.in_force.keys).next() {
+        Some(missing) => Err(format!("RELAY_CONFIG: {missing} is missing, which the one in force has")),
+        None => Ok(config),
+    }
 }
 
 /// Reads the configuration of this process. The error is the line to print; it names the faulty key.
@@ -138,12 +202,16 @@
     };
     let own = OWN_SOCKETS + ops.map_or(0, |_| OPS_SOCKETS);
     let shared = sockets.min(SOCKETS) - own;
+    bounds(&env, &site)?;
     let known = m.get("known").ok_or("RELAY_CONFIG: field known is missing")?;
     let known: Targets =
         serde_json::from_value(known.clone()).map_err(|e| format!("RELAY_CONFIG: field known: {e}"))?;
+    let name = text("RELAY_NAME", "name")?;
+    let listen = address("RELAY_LISTEN", "listen")?;
     Ok(Config {
-        name: text("RELAY_NAME", "name")?,
-        listen: address("RELAY_LISTEN", "listen")?,
+        in_force: InForce::of(value, &name, &listen, ops),
+        name,
+        listen,
         ops,
         inherited,
         discovery: address("RELAY_DISCOVERY", "discovery")?,
@@ -158,11 +226,79 @@
             dial_timeout: millis(site.dial_timeout.unwrap_or(DIAL_TIMEOUT_MS)),
             keepalive: millis(site.keepalive.unwrap_or(KEEPALIVE_MS)),
         },
-        names: Names { classes: site.class_names, tenants: site.tenant_names, zones: site.zones },
+        names: Names {
+            classes: site.class_names,
+            tenants: site.tenant_names,
+            zones: site.zones,
+            ..Names::default()
+        },
         settings: site.settings,
     })
 }
 
+/// Longest time that settings may hold, in milliseconds: a day.
+const LONGEST_MS: f64 = 86_400_000.0;
+/// Most classes, most tenants, and most queries and parts in hand: far beyond what anybody means.
+const MOST_NAMES: usize = 128;
+const MOST_OPEN: u64 = 10_000_000;
+
+/// Figures that cannot be meant. Each would make the broker fail every query, or none ever.
+fn bounds(m: &Message, site: &Site) -> Result<(), String> {
+    let time = |ms: f64| ms > 0.0 && ms <= LONGEST_MS;
+    let share = |s: f64| (0.0..=1.0).contains(&s);
+    for (class, name) in site.settings.classes.iter().zip(&site.class_names) {
+        let bad =
+            |field: &str| m.bad("Services", &format!("holds class {name:?}, whose {field} is out of bounds"));
+        if !time(class.give_up) {
+            return bad("GiveUp");
+        }
+        if !time(class.aim) {
+            return bad("Aim");
+        }
+        if matches!(class.semantics, Semantics::Keyed { window } if !time(window)) {
+            return bad("MemorySpan");
+        }
+        if !((0.0..1e9).contains(&class.worth) && share(class.late_worth)) {
+            return bad("Gain or LateWorth");
+        }
+        if !share(class.need) || !share(class.floor) || !(0.0..=1e3).contains(&class.partial_earns) {
+            return m.inner("FamilyInfo")?.bad("ClassNeed", "or MinShare or PartialEarns is out of bounds");
+        }
+    }
+    for (names, field) in [(&site.class_names, "Services"), (&site.tenant_names, "Projects")] {
+        if names.len() > MOST_NAMES {
+            return m.bad(field, &format!("holds more than {MOST_NAMES}"));
+        }
+        if names.iter().collect::<BTreeSet<_>>().len() < names.len() {
+            return m.bad(field, "names one twice");
+        }
+    }
+    let allowed = m.inner("Allowed")?;
+    if !allowed.opt_whole("SendCap")?.is_some_and(|n| (1..=1000).contains(&n)) {
+        return allowed.bad("SendCap", "is out of bounds");
+    }
+    if site.max_open.is_some_and(|n| !(1..=MOST_OPEN).contains(&n)) {
+        return allowed.bad("MaxOpen", "is out of bounds");
+    }
+    if site.multiplex.is_some_and(|n| !(1..=MOST_OPEN).contains(&n)) {
+        return allowed.bad("Multiplex", "is out of bounds");
+    }
+    for (figure, field) in [(site.dial_timeout, "DialTimeout"), (site.keepalive, "Keepalive")] {
+        if figure.is_some_and(|ms| !time(ms)) {
+            return allowed.bad(field, "is out of bounds");
+        }
+    }
+    let cold = &site.settings.cold;
+    let rules = m.inner("Rules")?;
+    if !share(cold.from) || !(0.0..=LONGEST_MS).contains(&cold.warm_after) {
+        return rules.bad("ColdFrom", "or Cold is out of bounds");
+    }
+    if !(cold.fall_multiple > 0.0 && cold.fall_multiple < 1e6 && time(cold.fall_after)) {
+        return rules.bad("FallMultiple", "or Fall is out of bounds");
+    }
+    Ok(())
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,11 +4,16 @@
 //! same decisions and rules. It alone sees the module's events and actions, and it alone counts what is open:
 //! a query enters in [`Core::pick`] and leaves with its one [`Final`] or in [`Core::leave`].
 
+mod places;
+
+pub use places::{MOST_PLACES, Placed, TooMany};
+
 use brookbend::Aggregator;
 use brookbend::api::{Action, ClassIndex, Event, ListKind, Member, Part, RequestId, Settings, TenantIndex};
 use brookbend::room::no_room_advice;
 use brookbend::view::{Bulk, ServerView};
-use plover_model::query::{AttemptId, PartSpec, QueryId, QueryLimits};
+use places::Places;
+use plover_model::query::{AttemptId, Names, PartSpec, QueryId, QueryLimits};
 use plover_model::server::{ListScope, NodeId, Outcome, ServerInfo, View};
 use plover_model::time::{MILLI, Micros, millis};
 use std::collections::{BTreeMap, BTreeSet};
@@ -115,6 +120,7 @@
 }
 
 struct Open {
+    class: usize,
     /// An attempt is given up after this time.
     attempt_time_out: Micros,
     /// Attempts dispatched so far, by part: the module numbers them by their order alone.
@@ -135,12 +141,17 @@
     /// Events that go in with the next call.
     staged: Vec<Event>,
     wake_at: Option<Micros>,
+    places: Places,
+    /// Until then a query has so many attempts at the most: those of the settings before.
+    attempts_before: Option<(Micros, u32)>,
 }
 
 impl Core {
     /// A core that may hold so many queries and parts.
     pub fn new(settings: Settings, max_open: usize, seed: u64) -> Self {
         Core {
+            places: Places::new(&settings, &Names::default()),
+            attempts_before: None,
             aggregator: Aggregator::new(settings.clone(), seed),
             settings,
             max_open,
@@ -152,6 +163,28 @@
         }
     }
 
+    /// Names the classes and tenants that the settings number, so that other settings can be told from these.
+    #[must_use]
+    pub fn named(mut self, names: &Names) -> Self {
+        self.places = Places::new(&self.settings, names);
+        self
+    }
+
+    /// Where classes and tenants would be under other settings. Nothing is changed by this.
+    pub fn plan(&self, now: Micros, settings: &Settings, names: &Names) -> Result<Placed, TooMany> {
+        self.places.plan(now, settings, names)
+    }
+
+    /// Goes by other settings, as [`Core::plan`] placed them, for queries that come from now on. What is known of servers
+    /// stays. Until `bind` the settings before hold as to attempts, where they allow fewer.
+    pub fn retune(&mut self, placed: &Placed, max_open: usize, bind: Micros) {
+        self.attempts_before = Some((bind, self.settings.max_attempts));
+        self.places.adopt(placed);
+        self.settings = placed.settings.clone();
+        self.max_open = max_open;
+        self.aggregator.retune(self.settings.clone(), &placed.begun);
+    }
+
     /// Takes news of the list of servers. It counts from the next call on.
     pub fn learn(&mut self, scope: ListScope, servers: Vec<ServerInfo>) {
         let kind = match scope {
@@ -197,6 +230,8 @@
             return Decisions::default();
         }
         let mut refused = Vec::new();
+        self.attempts_before.take_if(|(until, _)| now >= *until);
+        let before = self.attempts_before.map(|(_, most)| most);
         for q in queries {
             let needs = 1 + q.parts.len();
             if self.held + needs > self.max_open {
@@ -210,7 +245,8 @@
             self.ends.insert((give_up_at, q.id));
             let attempt_time_out = q.limits.attempt_time_out.unwrap_or(Micros::MAX);
             let attempts = vec![0; q.parts.len()];
-            self.open.insert(q.id, Open { attempt_time_out, attempts, give_up_at });
+            self.places.open(q.class);
+            self.open.insert(q.id, Open { class: q.class, attempt_time_out, attempts, give_up_at });
             self.staged.push(Event::Query(brookbend::api::Query {
                 id: query_name(q.id),
                 group: q.id,
@@ -218,7 +254,7 @@
                 tenant: TenantIndex(q.tenant),
                 give_up_at: to_ms(give_up_at),
                 patience_ends: to_ms(q.give_up_at),
-                max_attempts: q.limits.attempts,
+                max_attempts: [q.limits.attempts, before].into_iter().flatten().min(),
                 again: q.again,
             }));
             self.staged.extend(q.parts.iter().enumerate().map(|(i, p)| {
@@ -310,6 +346,7 @@
     fn close(&mut self, query: QueryId) -> bool {
         let Some(open) = self.open.remove(&query) else { return false };
         self.held -= 1 + open.attempts.len();
+        self.places.close(open.class);
         self.ends.remove(&(open.give_up_at, query));
         true
     }
--- a/crates/model/src/query.rs
+++ b/crates/model/src/query.rs
@@ -1,6 +1,7 @@
 //! A query: what a client asks, its parts and attempts, and the one final answer.
 
 use crate::time::Micros;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -87,6 +88,27 @@
     pub tenants: Vec<String>,
     /// The zones.
     pub zones: Vec<String>,
+    /// Classes that no request may name any more: queries that began under them may be in hand still.
+    pub classes_left: BTreeSet<usize>,
+    /// Tenants, likewise.
+    pub tenants_left: BTreeSet<usize>,
+}
+
+impl Names {
+    /// The index of the class that has this name now.
+    pub fn class(&self, name: &str) -> Option<usize> {
+        find(&self.classes, &self.classes_left, name.as_bytes())
+    }
+
+    /// The index of the tenant that has this name now.
+    pub fn tenant(&self, name: &[u8]) -> Option<usize> {
+        find(&self.tenants, &self.tenants_left, name)
+    }
+}
+
+fn find(names: &[String], left: &BTreeSet<usize>, name: &[u8]) -> Option<usize> {
+    let mut all = names.iter().enumerate();
+    all.find(|(i, n)| n.as_bytes() == name && !left.contains(i)).map(|(i, _)| i)
 }
 
 /// The section of the operator's file that a limit was set in: queries count together that have it from there.
--- a/crates/query/src/answer.rs
+++ b/crates/query/src/answer.rs
@@ -1,6 +1,6 @@
 //! From the end of a query to an HTTP response.
 
-use brookbend::api::Settings;
+use crate::Changing;
 use http::header::{ALLOW, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use http::{HeaderMap, StatusCode};
 use plover_model::query::Reply;
@@ -92,8 +92,9 @@
 }
 
 /// What a client is told whose connection finds no seat.
-pub fn refuse_connection(settings: &Settings) -> Response {
-    let retry_after = settings.max_retry_after.map(|most| millis(most).min(RETURN));
+pub fn refuse_connection(terms: &Changing) -> Response {
+    let most = terms.latest().settings.as_ref().and_then(|s| s.max_retry_after);
+    let retry_after = most.map(|most| millis(most).min(RETURN));
     final_answer(&Reply::Refused { retry_after })
 }
 
--- a/crates/query/src/ask.rs
+++ b/crates/query/src/ask.rs
@@ -41,7 +41,7 @@
 ) -> Result<Ask, Reply> {
     let m = request.headers();
     let first = request.uri().path().trim_start_matches('/').split('/').next().unwrap_or_default();
-    let Some(class) = names.classes.iter().position(|c| c == first) else {
+    let Some(class) = names.class(first) else {
         return bad(404, "the path names no class");
     };
     if request.method() != Method::POST {
@@ -54,7 +54,7 @@
     let Some(id) = id else { return bad(400, "X-Request-Id is missing") };
     let tenant = match m.get("x-tenant") {
         _ if names.tenants.is_empty() => 0,
-        Some(name) => match names.tenants.iter().position(|t| t.as_bytes() == name.as_bytes()) {
+        Some(name) => match names.tenant(name.as_bytes()) {
             Some(tenant) => tenant,
             None => return bad(400, "X-Tenant names no tenant"),
         },
--- a/crates/query/src/lib.rs
+++ b/crates/query/src/lib.rs
@@ -4,14 +4,15 @@
 
 mod answer;
 mod ask;
+mod terms;
 
 pub use answer::{Response, date, final_answer, plain, refuse_connection};
 pub use ask::decode;
+pub use terms::{BINDS, Changing, Terms};
 
-use brookbend::api::Settings;
 use http::{Method, Request};
-use plover_model::query::{Ask, Names};
-use plover_routes::Routes;
+use plover_model::query::Ask;
+use plover_model::time::Micros;
 
 /// Longest body of a request, in bytes.
 pub const BODY_CAP: usize = 64 * 1024;
@@ -34,14 +35,8 @@
     },
 }
 
-/// Says what a whole request wants; `ready` is whether the broker takes queries.
-pub fn route(
-    request: &Request<Vec<u8>>,
-    ready: bool,
-    names: &Names,
-    settings: &Settings,
-    routes: &Routes,
-) -> Routed {
+/// Says what a whole request wants that came at this moment; `ready` is whether the broker takes queries.
+pub fn route(request: &Request<Vec<u8>>, ready: bool, terms: &Changing, at: Micros) -> Routed {
     let answered = |response, usable| Routed::Answered { response, usable };
     if request.uri() == "*" {
         return answered(answer::options(), true);
@@ -53,7 +48,7 @@
             _ => answered(answer::error(501, "", ""), false),
         };
     }
-    match decode(request, names, settings, routes) {
+    match terms.read(at, request) {
         Ok(ask) => Routed::Query(ask),
         Err(reply) => answered(final_answer(&reply), false),
     }
--- a/crates/repeats/src/lib.rs
+++ b/crates/repeats/src/lib.rs
@@ -178,6 +178,12 @@
         }
     }
 
+    /// Other times, for what comes from now on.
+    pub fn retune(&mut self, window: Micros, keep: Micros) {
+        self.window = window;
+        self.keep = keep;
+    }
+
     /// Keys that are held.
     pub fn held(&self) -> usize {
         self.entries.len()
