--- a/crates/broker/src/front/mod.rs
+++ b/crates/broker/src/front/mod.rs
@@ -153,6 +153,14 @@
         }
     }
 
+    /// So many processes are this broker, and share its descriptors.
+    pub fn set_copies(&self, copies: usize) {
+        accept::Serve::seats(&*self.http1.front).set_copies(copies);
+        if let Some(http2) = &self.http2 {
+            accept::Serve::seats(&*http2.front).set_copies(copies);
+        }
+    }
+
     /// Takes other terms, told at this moment.
     pub fn change(&self, at: Micros, terms: Terms) {
         self.shared.terms.borrow_mut().change(at, terms);
--- a/crates/broker/src/front/seats.rs
+++ b/crates/broker/src/front/seats.rs
@@ -40,7 +40,9 @@
 
 /// The seats of one front.
 pub(super) struct Seats {
-    most: usize,
+    most: Cell<usize>,
+    /// Of which each process that is this broker takes its part.
+    all: usize,
     open: Cell<usize>,
     next: Cell<u64>,
     /// Connections that may be closed for want of room, by rank and age there: the first one first.
@@ -108,7 +110,8 @@
     /// So many connections at most.
     pub(super) fn new(most: usize) -> Rc<Self> {
         Rc::new(Seats {
-            most,
+            most: Cell::new(most),
+            all: most,
             open: Cell::new(0),
             next: Cell::new(0),
             spare: RefCell::default(),
@@ -116,6 +119,11 @@
         })
     }
 
+    /// So many processes are this broker, and share its seats.
+    pub(super) fn set_copies(&self, copies: usize) {
+        self.most.set((self.all / copies.max(1)).max(1));
+    }
+
     /// Connections that are open.
     pub(super) fn open(&self) -> usize {
         self.open.get()
@@ -129,13 +137,13 @@
 
     /// Takes a seat if one is free.
     pub(super) fn try_take(self: &Rc<Self>) -> Option<Seat> {
-        (self.open.get() < self.most).then(|| self.take())
+        (self.open.get() < self.most.get()).then(|| self.take())
     }
 
     /// Full: others make room for one that has come. False: none did.
     pub(super) async fn make_room(&self) -> bool {
         let start = Instant::now();
-        while self.open.get() >= self.most {
+        while self.open.get() >= self.most.get() {
             let _ = self.room.1.try_recv(); // rung when there was room still
             let evicted = self.evict(Instant::now());
             warn!(name: "front_full", open = self.open.get(), evicted);
@@ -166,7 +174,7 @@
 
     /// How long a connection that has served may be idle.
     pub(super) fn idle_time(&self) -> Duration {
-        let pressed = self.open.get() * PRESSED.1 > self.most * PRESSED.0;
+        let pressed = self.open.get() * PRESSED.1 > self.most.get() * PRESSED.0;
         if pressed { IDLE_PRESSED } else { IDLE }
     }
 }
--- a/crates/broker/src/inbox.rs
+++ b/crates/broker/src/inbox.rs
@@ -23,6 +23,8 @@
     Reload,
     /// The program is to end.
     Terminate,
+    /// A process that is one broker with this one has something to say, or has gone.
+    Neighbour,
     /// An operator calls; the answer is a status and a text.
     Operator(Call, Sender<(u16, String)>),
 }
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod front;
 pub mod inbox;
+mod neighbours;
 pub mod operator;
 mod queries;
 pub mod turns;
--- a/crates/broker/src/queries.rs
+++ b/crates/broker/src/queries.rs
@@ -5,12 +5,14 @@
 use brookbend::api::{Semantics, Settings};
 use plover_admission::{Connection, Shares};
 use plover_core::{Dispatch, Query};
+use plover_handover::wire::{self, Word};
+use plover_handover::{Keyed, Neighbours};
 use plover_limits::{Gate, Permit};
 use plover_model::query::{Ask, AttemptId, QueryId, Reply};
 use plover_model::server::Outcome;
 use plover_model::time::{Micros, millis};
 use plover_ops::{Books, Census, End, Row};
-use plover_repeats::{Proof, Repeats, Verdict};
+use plover_repeats::{Heard, Proof, Repeats, Verdict};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use tracing::{Span, debug, debug_span, info};
@@ -63,6 +65,44 @@
     }
 }
 
+fn opened(ask: &Ask, permit: &Permit) -> Word {
+    let owner = permit.owner().map(|owner| owner.as_ref().to_owned());
+    Word::Opened { id: ask.id.as_ref().to_owned(), units: units(ask) as u32, owner }
+}
+
+fn word(key: &str, heard: Heard, origin: Micros) -> Word {
+    let key = key.to_owned();
+    match heard {
+        Heard::Opened { until } => Word::KeyOpened { key, until: origin + until },
+        Heard::Sent { shard, at, until } => {
+            Word::KeySent { key, shard: shard as u32, at: origin + at, until: origin + until }
+        }
+        Heard::Ended { shard, at, proof } => {
+            Word::KeyEnded { key, shard: shard as u32, at: origin + at, proof: told_proof(proof) }
+        }
+        Heard::Closed { answered } => Word::KeyClosed { key, at: origin, answered },
+    }
+}
+
+fn told_proof(proof: Proof) -> wire::Proof {
+    match proof {
+        Proof::NeverRan => wire::Proof::NeverRan,
+        Proof::Ran => wire::Proof::Ran,
+        Proof::MayRun => wire::Proof::MayRun,
+    }
+}
+
+/// The other processes of this broker, if there may be any.
+#[derive(Clone, Copy)]
+pub(crate) struct Beside<'a>(pub(crate) Option<&'a Neighbours>);
+
+impl Beside<'_> {
+    /// Whether a part of a keyed class may be sent.
+    pub(crate) fn keyed(self, now: Micros) -> Keyed {
+        self.0.map_or(Keyed::May, |neighbours| neighbours.keyed(now))
+    }
+}
+
 /// Why a dispatch does not go out.
 #[derive(Debug, PartialEq, Eq)]
 pub(crate) enum Held {
@@ -83,6 +123,10 @@
     /// Attempts that are out under a key.
     keyed: BTreeMap<AttemptId, (Rc<str>, usize)>,
     max_retry_after: Option<Micros>,
+    /// What other processes of this broker are to hear; `None` where there are none.
+    words: Option<Vec<Word>>,
+    /// What the machine's clock says at zero of ours.
+    origin: Micros,
     books: Books,
     /// Of each class, by its index.
     rows: Vec<Row>,
@@ -90,7 +134,13 @@
 
 impl Queries {
     /// With room for so many queries and parts.
-    pub(crate) fn new(settings: &Settings, classes: &[String], room: usize, seed: u64) -> Self {
+    pub(crate) fn new(
+        settings: &Settings,
+        classes: &[String],
+        room: usize,
+        seed: u64,
+        origin: Micros,
+    ) -> Self {
         let mut books = Books::default();
         let rows = classes.iter().map(|name| books.row(name)).collect();
         let (window, keep) = repeat_times(settings);
@@ -102,11 +152,57 @@
             gate: Gate::new(seed),
             keyed: BTreeMap::new(),
             max_retry_after: settings.max_retry_after.map(millis),
+            words: None,
+            origin,
             books,
             rows,
         }
     }
 
+    /// Begins to note what other processes of this broker are to hear, or stops.
+    pub(crate) fn mirror(&mut self, on: bool) {
+        self.words = on.then(|| self.words.take().unwrap_or_default());
+    }
+
+    /// What they are to hear since the last time.
+    pub(crate) fn take_words(&mut self) -> Vec<Word> {
+        self.words.as_mut().map(std::mem::take).unwrap_or_default()
+    }
+
+    /// All that a process that has just come has to hear.
+    pub(crate) fn tell_all(&self) -> Vec<Word> {
+        let mut words: Vec<Word> = self.pending.values().map(|p| opened(&p.ask, &p.permit)).collect();
+        self.repeats.tell(|key, heard| words.push(word(key, heard, self.origin)));
+        words
+    }
+
+    /// Takes what another process of this broker did with a key.
+    pub(crate) fn hear(&mut self, now: Micros, word: Word) {
+        let at = |shared: Micros| shared.saturating_sub(self.origin);
+        let (key, heard) = match word {
+            Word::KeyOpened { key, until } => (key, Heard::Opened { until: at(until) }),
+            Word::KeySent { key, shard, at: sent, until } => {
+                (key, Heard::Sent { shard: shard as usize, at: at(sent), until: at(until) })
+            }
+            Word::KeyEnded { key, shard, at: ended, proof } => {
+                let proof = match proof {
+                    wire::Proof::NeverRan => Proof::NeverRan,
+                    wire::Proof::Ran => Proof::Ran,
+                    wire::Proof::MayRun => Proof::MayRun,
+                };
+                (key, Heard::Ended { shard: shard as usize, at: at(ended), proof })
+            }
+            Word::KeyClosed { key, answered, .. } => (key, Heard::Closed { answered }),
+            Word::Recall(_) | Word::Told | Word::Opened { .. } | Word::Closed { .. } => return,
+        };
+        self.repeats.hear(now, &key.into(), heard);
+    }
+
+    /// So many processes are this broker.
+    pub(crate) fn set_copies(&mut self, copies: u32) {
+        self.gate.set_copies(copies);
+    }
+
     /// Goes by other settings for queries that come from now on; those in hand keep what they have.
     pub(crate) fn retune(&mut self, settings: &Settings, classes: &[String], room: usize) {
         let (window, keep) = repeat_times(settings);
@@ -139,6 +235,7 @@
         connection: Connection,
         ask: Ask,
         reply: Sender<Reply>,
+        beside: Beside<'_>,
     ) -> Option<Query> {
         let row = self.rows[ask.class];
         let books = &mut self.books;
@@ -151,7 +248,7 @@
             None
         };
         // Parts go by the request's id on the wire: those of two requests could not be told apart.
-        if self.ids.contains(&ask.id) {
+        if self.ids.contains(&ask.id) || beside.0.is_some_and(|n| n.has(&ask.id)) {
             let why = "X-Request-Id is that of a request in hand".to_owned();
             return answered(Reply::Bad { status: 400, why });
         }
@@ -160,7 +257,10 @@
             info!(name: "share_full", connection, held = self.shares.held());
             return answered(Reply::Refused { retry_after: self.max_retry_after });
         }
-        let mut permit = match self.gate.take(now, &ask.limits, ask.tenant) {
+        let mut permit = match self
+            .gate
+            .take_beside(now, &ask.limits, ask.tenant, |owner| beside.0.map_or(0, |n| n.in_hand(owner)))
+        {
             Ok(permit) => permit,
             Err(refused) => {
                 self.shares.give_back(connection, units);
@@ -172,7 +272,11 @@
         let give_up_at = now + ask.patience;
         if let Some(key) = &ask.key {
             let shards = ask.parts.iter().map(|p| p.shard);
-            let verdict = self.repeats.open(now, key, shards, give_up_at);
+            // What another process may be sending unknown to us counts as this key's.
+            let verdict = match beside.keyed(now) {
+                Keyed::Wait(until) => Verdict::Busy(until.min(give_up_at)),
+                Keyed::May => self.repeats.open(now, key, shards, give_up_at),
+            };
             if verdict != Verdict::Serve {
                 self.shares.give_back(connection, units);
                 self.gate.give_back(std::mem::take(&mut permit));
@@ -200,6 +304,11 @@
         };
         let span = debug_span!("query", query = id, connection, id = %ask.id);
         span.in_scope(|| debug!(name: "query_taken", class = ask.class, parts = ask.parts.len()));
+        if let Some(words) = &mut self.words {
+            words.push(opened(&ask, &permit));
+            let until = self.origin + give_up_at;
+            words.extend(ask.key.as_ref().map(|key| Word::KeyOpened { key: key.as_ref().to_owned(), until }));
+        }
         self.ids.insert(ask.id.clone());
         let values = vec![None; ask.parts.len()];
         self.books.take(row);
@@ -232,6 +341,12 @@
         let mut pending = self.pending.remove(&query)?;
         self.books.end(pending.row, end);
         self.gate.give_back(std::mem::take(&mut pending.permit));
+        if let Some(words) = &mut self.words {
+            words.push(Word::Closed { id: pending.ask.id.as_ref().to_owned() });
+            let (at, answered) = (self.origin + now, end == End::Succeeded);
+            let key = |key: &Rc<str>| Word::KeyClosed { key: key.as_ref().to_owned(), at, answered };
+            words.extend(pending.ask.key.as_ref().map(key));
+        }
         self.ids.remove(&pending.ask.id);
         self.shares.give_back(pending.connection, pending.units());
         if let Some(key) = &pending.ask.key {
@@ -248,6 +363,15 @@
             if !self.repeats.may_send(now, key, part.shard) {
                 return Err(Held::Repeat);
             }
+            if let Some(words) = &mut self.words {
+                let (at, until) = (self.origin + now, self.origin + d.until);
+                words.push(Word::KeySent {
+                    key: key.as_ref().to_owned(),
+                    shard: part.shard as u32,
+                    at,
+                    until,
+                });
+            }
             self.repeats.sent(now, key, part.shard, d.until);
             self.keyed.insert(d.attempt, (key.clone(), part.shard));
         }
@@ -273,6 +397,10 @@
                 Outcome::Full | Outcome::NoConnection | Outcome::NotSent => Proof::NeverRan,
                 Outcome::TimedOut | Outcome::ConnectionLost | Outcome::Cancelled => Proof::MayRun,
             };
+            if let Some(words) = &mut self.words {
+                let (at, proof) = (self.origin + now, told_proof(proof));
+                words.push(Word::KeyEnded { key: key.as_ref().to_owned(), shard: shard as u32, at, proof });
+            }
             self.repeats.ended(now, &key, shard, proof);
         }
         let Some(pending) = self.pending.get_mut(&ended.attempt.query) else { return };
--- a/crates/broker/src/turns.rs
+++ b/crates/broker/src/turns.rs
@@ -2,22 +2,28 @@
 
 use crate::front::{Fronts, Plan, Shared};
 use crate::inbox::{Inbox, Input};
+use crate::neighbours::Sockets;
 use crate::operator::{Operator, platform};
-use crate::queries::{Held, Queries};
+use crate::queries::{Beside, Held, Queries};
 use crate::upstream::{Ended, Send, Upstream};
+use async_channel::Sender;
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use async_signal::{Signal, Signals};
 use brookbend::api::Settings;
 use futures_lite::future::yield_now;
 use futures_lite::{FutureExt, StreamExt};
+use plover_admission::Connection;
 use plover_admission::budget::{self, Given, divide};
 use plover_config::{self as config, Config, InForce};
-use plover_core::{Core, Decisions, Dispatch, Final, Placed, Report, Verdict};
+use plover_core::{Core, Decisions, Dispatch, Final, Placed, Query, Report, Verdict};
 use plover_discovery::{Discovery, Sink};
+use plover_handover::wire::Word;
+use plover_handover::{Keyed, Neighbours, News};
 use plover_model::limits::PoolLimits;
-use plover_model::query::{AttemptId, QueryId, Reply};
-use plover_model::server::{ListScope, NodeId, NodeState, Outcome, Targets};
+use plover_model::query::{Ask, AttemptId, QueryId, Reply};
+use plover_model::recall::Recall;
+use plover_model::server::{ListScope, NodeId, NodeState, Outcome, ServerInfo, Targets};
 use plover_model::time::{Micros, millis};
 use plover_ops::{Call, Census, Effect, Life, Stage};
 use plover_pacing::Pacing;
@@ -28,8 +34,12 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use tracing::{info, warn};
 
+/// How often a process that starts looks whether those before it have spoken.
+const SETTLE_STEP: Duration = Duration::from_millis(1);
+
 /// One broker.
 pub struct Broker {
     clock: Clock,
@@ -50,11 +60,21 @@
     /// The turn's dispatches: they go out together at its end.
     dispatches: BTreeMap<AttemptId, Dispatch>,
     ended: Vec<Ended>,
+    /// Other processes that are this broker, where there may be any.
+    beside: Option<Sockets>,
+    copies: u32,
+    /// The list's version.
+    rev: u64,
+    /// Queries that wait until a process that has just come has said who it is.
+    put_off: Vec<Asked>,
     life: Life,
     /// Files taken and turned down at SIGHUP.
     sighup: (u64, u64),
 }
 
+/// A query as it comes out of the inbox.
+type Asked = (QueryId, Connection, Ask, Sender<Reply>);
+
 /// Catches the signals that the program heeds, from now on.
 pub fn signals() -> io::Result<Signals> {
     Signals::new([Signal::Term, Signal::Int, Signal::Hup])
@@ -118,6 +138,10 @@
     let plan = Plan { http1: listener, http2, door, limits };
     let rev = config.known.rev;
     let tick = millis(config.settings.tick);
+    let beside = config
+        .hand_over
+        .as_ref()
+        .map(|directory| Sockets::start(directory, &config.name, clock, executor.clone(), inbox.clone()));
     let mut broker = Broker {
         clock,
         zones: config.names.zones.clone(),
@@ -126,7 +150,13 @@
         pacing: operator.pacing(tick),
         operator,
         clients: config.clients,
-        queries: Queries::new(&config.settings, &config.names.classes, config.max_open, config.seed),
+        queries: Queries::new(
+            &config.settings,
+            &config.names.classes,
+            config.max_open,
+            config.seed,
+            clock.shared(0),
+        ),
         core: Core::new(config.settings, config.max_open, config.seed).named(&config.names),
         upstream: Upstream::new(executor.clone(), inbox.clone(), config.pool),
         discovery: Discovery::start(executor.clone(), list, config.discovery, Some(rev)),
@@ -134,10 +164,15 @@
         fronts: Fronts::start(shared, plan, clock, executor.clone()),
         dispatches: BTreeMap::new(),
         ended: Vec::new(),
+        beside,
+        copies: 1,
+        rev,
+        put_off: Vec::new(),
         life: Life::Serving,
         sighup: (0, 0),
     };
     broker.learn(clock.now(), ListScope::Known, &config.known);
+    broker.settle();
     info!(name: "started", name = %config.name, listen = %listen, rev);
     if let (Some(listen), Some(held)) = (listen_http2, limits.http2) {
         let (connections, streams) = (held.connections, held.streams);
@@ -170,7 +205,10 @@
             }
             let closing = self.fronts.is_closing().then_some(now + self.tick);
             let ended = (self.upstream.has_ended() || !self.ended.is_empty()).then_some(now);
-            let due = [Some(self.core.due()), Some(self.upstream.due()), self.life.due(), closing, ended];
+            let put_off = (!self.put_off.is_empty()).then_some(now);
+            let beside = self.beside.as_ref().and_then(|s| s.due(now));
+            let core = Some(self.core.due());
+            let due = [core, Some(self.upstream.due()), self.life.due(), closing, ended, put_off, beside];
             let due = due.into_iter().flatten().min().unwrap_or(Micros::MAX);
             self.pause(now, due).await;
         }
@@ -204,13 +242,14 @@
     }
 
     fn turn(&mut self, now: Micros) {
-        let mut asks = Vec::new();
+        self.hear_neighbours(now);
+        let mut asks = std::mem::take(&mut self.put_off);
         let mut calls = Vec::new();
         for input in self.inbox.take() {
             match input {
                 Input::Ask(id, connection, ask, reply) => asks.push((id, connection, ask, reply)),
                 Input::Gone(id) => {
-                    asks.retain(|(ask, ..)| *ask != id);
+                    asks.retain(|(ask, ..): &Asked| *ask != id);
                     self.core.leave(id);
                     self.queries.gone(now, id);
                 }
@@ -218,20 +257,22 @@
                 Input::Targets(targets) => self.learn(now, targets.scope(), &targets),
                 Input::Reload => self.reload(now),
                 Input::Terminate => self.terminate(now),
+                // Heard above, with all that others had to say.
+                Input::Neighbour => {}
                 Input::Operator(call, answer) => calls.push((call, answer)),
             }
         }
         let reports = self.take_reports(now);
         let decisions = self.core.report(now, reports);
         self.carry_out(now, decisions);
-        let admit = |(id, connection, ask, reply)| self.queries.admit(now, id, connection, ask, reply);
-        let queries = asks.into_iter().filter_map(admit).collect();
+        let queries = self.admit(now, asks);
         let decisions = self.core.pick(now, queries);
         self.carry_out(now, decisions);
         let decisions = self.core.tick(now);
         self.carry_out(now, decisions);
         let sends = std::mem::take(&mut self.dispatches);
         let sends = sends.into_values().filter_map(|d| self.send(now, d)).collect();
+        let sends = self.tell_neighbours(now, sends);
         self.upstream.dispatch(now, sends);
         self.upstream.sweep(now);
         for (call, answer) in calls {
@@ -240,6 +281,123 @@
         }
     }
 
+    /// Takes queries up. One of a keyed class waits where a process that has just come is about to say who it is.
+    fn admit(&mut self, now: Micros, asks: Vec<Asked>) -> Vec<Query> {
+        let neighbours = self.beside.as_ref().map(|s| &s.known);
+        let beside = Beside(neighbours);
+        let soon = neighbours.is_some_and(|n| !n.is_settled()) && beside.keyed(now) != Keyed::May;
+        self.core.set_elsewhere(neighbours.map_or(0, Neighbours::units));
+        let mut queries = Vec::new();
+        for (id, connection, ask, reply) in asks {
+            if soon && ask.key.is_some() {
+                self.put_off.push((id, connection, ask, reply));
+            } else {
+                queries.extend(self.queries.admit(now, id, connection, ask, reply, beside));
+            }
+        }
+        queries
+    }
+
+    /// Hears out the processes that are there already, before this one says that it serves.
+    fn settle(&mut self) {
+        let Some(beside) = &mut self.beside else { return };
+        let mut news = Vec::new();
+        // What they are owed is told as soon as they have greeted.
+        loop {
+            let now = self.clock.now();
+            news.extend(beside.turn(now));
+            for id in beside.owed() {
+                beside.known.tell(now, id, &Word::Told);
+            }
+            beside.flush(now);
+            if beside.known.is_settled() {
+                break;
+            }
+            std::thread::sleep(SETTLE_STEP);
+        }
+        let now = self.clock.now();
+        self.take_news(now, news);
+    }
+
+    /// Takes what other processes of this broker have said, and tells one that has just come all that is known.
+    fn hear_neighbours(&mut self, now: Micros) {
+        let Some(beside) = &mut self.beside else { return };
+        let news = beside.turn(now);
+        let owed = beside.owed();
+        self.queries.mirror(beside.has_told());
+        if !owed.is_empty() {
+            let recall = Word::Recall(Box::new(self.core.recall(now, self.rev)));
+            // What was noted before this is part of all that is known.
+            let words = [recall].into_iter().chain(self.queries.tell_all()).chain([Word::Told]);
+            for word in words {
+                owed.iter().for_each(|id| beside.known.tell(now, *id, &word));
+            }
+            beside.flush(now);
+        }
+        self.take_news(now, news);
+    }
+
+    fn take_news(&mut self, now: Micros, news: Vec<News>) {
+        for news in news {
+            match news {
+                News::Recall(recall) => self.remember(now, &recall),
+                News::Key(word) => self.queries.hear(now, word),
+                News::Joined(older) => info!(name: "hand_over_joined", older),
+                News::Gone => {}
+            }
+        }
+        let copies = self.beside.as_ref().map_or(1, |s| s.known.copies());
+        if std::mem::replace(&mut self.copies, copies) != copies {
+            self.core.set_copies(copies);
+            self.queries.set_copies(copies);
+            self.upstream.set_copies(copies as usize);
+            self.fronts.set_copies(copies as usize);
+        }
+    }
+
+    /// Begins with what the process before this one knew.
+    fn remember(&mut self, now: Micros, recall: &Recall) {
+        // The list that is known at the start waits for the first turn; this is about its servers.
+        let decisions = self.core.tick(now);
+        self.carry_out(now, decisions);
+        self.core.remember(now, 0, recall);
+        if recall.rev < self.rev {
+            return;
+        }
+        let leaves: BTreeSet<&str> =
+            recall.servers.iter().filter(|s| s.leaving).map(|s| s.name.as_str()).collect();
+        let nowhere = SocketAddr::from(([0, 0, 0, 0], 0));
+        let views = self.core.views(now, |_| Some(nowhere)).into_iter();
+        let drains = views.filter(|v| v.state == NodeState::Serving && leaves.contains(&*v.name.0));
+        let drains: Vec<ServerInfo> = drains
+            .map(|v| ServerInfo {
+                name: v.name,
+                cell: v.cell,
+                state: NodeState::Draining,
+                zone: v.zone,
+                started: None,
+            })
+            .collect();
+        drains.iter().for_each(|s| self.upstream.learn(now, s.name.clone(), None));
+        self.core.learn(ListScope::Changes, drains);
+    }
+
+    /// Tells other processes of this broker what this turn has done, before its parts go out: a part of a key that they
+    /// do not know of by then does not.
+    fn tell_neighbours(&mut self, now: Micros, sends: Vec<Send>) -> Vec<Send> {
+        let Some(beside) = &mut self.beside else { return sends };
+        for word in self.queries.take_words() {
+            beside.tell(now, &word);
+        }
+        beside.flush(now);
+        if beside.known.keyed(now) == Keyed::May {
+            return sends;
+        }
+        let (held, sends): (Vec<Send>, Vec<Send>) = sends.into_iter().partition(|s| s.key.is_some());
+        self.ended.extend(held.into_iter().map(|s| never_sent(s.attempt)));
+        sends
+    }
+
     /// Heeds an operator's call: a status, and a text.
     fn operate(&mut self, now: Micros, call: Call) -> (u16, String) {
         let changed = match call {
@@ -277,6 +435,7 @@
 
     /// Takes news of the list: the decisions and the pools learn of it in the same turn.
     fn learn(&mut self, now: Micros, scope: ListScope, targets: &Targets) {
+        self.rev = targets.rev;
         let servers = targets.servers(&self.zones, |ms| self.clock.of_unix_ms(ms));
         if scope != ListScope::Changes {
             let named: BTreeSet<&NodeId> = servers.iter().map(|s| &s.name).collect();
--- a/crates/broker/src/upstream/mod.rs
+++ b/crates/broker/src/upstream/mod.rs
@@ -99,6 +99,8 @@
     executor: Rc<LocalExecutor<'static>>,
     inbox: Rc<Inbox>,
     limits: PoolLimits,
+    /// Descriptors, of which each process that is this broker takes its part.
+    sockets: usize,
     servers: BTreeMap<NodeId, Server>,
     conns: BTreeMap<u64, Conn>,
     next_conn: u64,
@@ -114,6 +116,7 @@
         Upstream {
             executor,
             inbox,
+            sockets: limits.sockets,
             limits,
             servers: BTreeMap::new(),
             conns: BTreeMap::new(),
@@ -130,6 +133,11 @@
         self.limits = PoolLimits { sockets: self.limits.sockets, ..limits };
     }
 
+    /// So many processes are this broker, and share its descriptors. What is open beyond that ends as it falls idle.
+    pub fn set_copies(&mut self, copies: usize) {
+        self.limits.sockets = (self.sockets / copies.max(1)).max(1);
+    }
+
     /// Takes where a server is to be called; `None`: it wants nothing new, or is gone. What waits unsent for
     /// one that left or moved is taken back.
     pub fn learn(&mut self, now: Micros, name: NodeId, endpoint: Option<SocketAddr>) {
--- a/crates/brookbend/src/choice.rs
+++ b/crates/brookbend/src/choice.rs
@@ -132,7 +132,7 @@
     pub(crate) now: Ms,
     out: Vec<Action>,
     pub(crate) fleet: Fleet,
-    desk: Desk,
+    pub(crate) desk: Desk,
     pub(crate) learned: Vec<Learned>,
     pub(crate) fleet_pace: f64,
     next_second: Ms,
--- /dev/null
+++ b/crates/brookbend/src/recall.rs
@@ -0,0 +1,230 @@
+//! What one process knows of servers and classes, for another that takes over: ages and waits, not moments, so that it
+//! means the same on another clock. Nothing here decides anything.
+
+use crate::api::*;
+use crate::choice::Aggregator;
+use crate::state::Server;
+use serde::{Deserialize, Serialize};
+
+/// All that is known.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Recall {
+    /// The version of the list of servers that this rests on.
+    pub rev: u64,
+    /// Time until an answer per work, over the fleet.
+    pub fleet_pace: f64,
+    /// Work served by each warm server in a millisecond.
+    pub served_rate: f64,
+    /// By server.
+    pub servers: Vec<ServerRecall>,
+    /// By class.
+    pub classes: Vec<ClassRecall>,
+}
+
+/// What is known of a server. Times are in milliseconds.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ServerRecall {
+    /// Its name.
+    pub name: String,
+    /// Whether the list says that it drains or is gone.
+    pub leaving: bool,
+    /// Time until an answer per work there.
+    pub pace: f64,
+    /// How long ago it was heard; `None`: never.
+    pub heard_ago: Option<f64>,
+    /// How long ago the newest attempt was sent that it served; `None`: there is none.
+    pub served_ago: Option<f64>,
+    /// Share of failures of late, and failures in a row.
+    pub errors: f64,
+    /// See above.
+    pub failures: u32,
+    /// It is passed over for this long still.
+    pub shun_for: f64,
+    /// It is full for this long still.
+    pub full_for: f64,
+    /// The length of its last ejection.
+    pub ejection: f64,
+    /// Whether it went silent, and was not heard since.
+    pub silent: bool,
+    /// Work sent to it while it is cold, within the rule's window: how long ago, and how much.
+    pub cold_sent: Vec<(f64, f64)>,
+}
+
+/// What is known of a class.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ClassRecall {
+    /// Its name.
+    pub name: String,
+    /// Rows that a query touches.
+    pub rows: f64,
+    /// Work of a part.
+    pub unit: f64,
+    /// How long queries take beyond their forecast.
+    pub lag: f64,
+    /// How long the second step takes.
+    pub second: f64,
+}
+
+impl Aggregator {
+    /// All that is known at this moment. The classes come in the order of their indices, without their names.
+    pub fn recall(&self, now: Ms) -> Recall {
+        let ago = |at: Ms| (at > f64::NEG_INFINITY).then_some((now - at).max(0.0));
+        let left = |until: Ms| (until - now).max(0.0);
+        let from = now - self.set.cold.fall_after;
+        let server = |s: &Server| ServerRecall {
+            name: s.node.0.as_ref().to_owned(),
+            leaving: s.state != NodeState::Serving,
+            pace: s.pace,
+            heard_ago: ago(s.heard),
+            served_ago: ago(s.last_served_sent),
+            errors: s.errors,
+            failures: s.failures,
+            shun_for: left(s.shun_until),
+            full_for: left(s.full_until),
+            ejection: s.ejection,
+            silent: s.went_silent,
+            cold_sent: s.cold_sends.iter().filter(|(t, _)| *t >= from).map(|(t, w)| (now - t, *w)).collect(),
+        };
+        let class = |l: &crate::state::Learned| ClassRecall {
+            name: String::new(),
+            rows: l.width.rows,
+            unit: l.unit,
+            lag: l.lag,
+            second: l.second,
+        };
+        Recall {
+            rev: 0,
+            fleet_pace: self.fleet_pace,
+            served_rate: self.desk.served_rate,
+            servers: self.fleet.by_name.values().map(|i| server(&self.fleet.servers[*i])).collect(),
+            classes: self.learned.iter().map(class).collect(),
+        }
+    }
+
+    /// Takes what another knew this long ago, where nothing is known here yet. A figure that is none is passed over. Its
+    /// classes are those here, by index; one without a name is nobody's.
+    pub fn remember(&mut self, now: Ms, age: Ms, r: &Recall) {
+        let figure = |n: f64| n.is_finite() && n >= 0.0;
+        let age = if figure(age) { age } else { 0.0 };
+        if figure(r.fleet_pace) && r.fleet_pace > 0.0 {
+            self.fleet_pace = r.fleet_pace;
+        }
+        if figure(r.served_rate) {
+            self.desk.served_rate = self.desk.served_rate.max(r.served_rate);
+        }
+        for (learned, known) in self.learned.iter_mut().zip(&r.classes).filter(|(_, k)| !k.name.is_empty()) {
+            if [known.rows, known.unit, known.lag, known.second].into_iter().all(figure) && known.unit > 0.0 {
+                learned.width.rows = known.rows.max(1.0);
+                (learned.unit, learned.lag, learned.second) = (known.unit, known.lag, known.second);
+            }
+        }
+        let window = self.set.cold.fall_after;
+        for known in &r.servers {
+            let Some(&i) = self.fleet.by_name.get(&NodeId(known.name.as_str().into())) else { continue };
+            let s = &mut self.fleet.servers[i];
+            for (ago, work) in known.cold_sent.iter().filter(|(ago, work)| figure(*ago) && figure(*work)) {
+                if ago + age < window && s.cold_since.is_some() {
+                    s.cold_sends.push_back((now - ago - age, *work));
+                }
+            }
+            let fresh = s.heard == f64::NEG_INFINITY && s.failures == 0;
+            let sound = [known.pace, known.errors, known.shun_for, known.full_for, known.ejection];
+            if !fresh || !sound.into_iter().all(figure) || known.errors > 1.0 {
+                continue;
+            }
+            let at =
+                |ago: Option<f64>| ago.filter(|a| figure(*a)).map_or(f64::NEG_INFINITY, |a| now - a - age);
+            s.pace = known.pace;
+            s.heard = at(known.heard_ago);
+            s.last_served_sent = at(known.served_ago);
+            (s.errors, s.failures, s.ejection) = (known.errors, known.failures, known.ejection);
+            s.shun_until = now + (known.shun_for - age);
+            s.full_until = now + (known.full_for - age);
+            s.went_silent = known.silent;
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::settings::{Message, decode};
+
+    fn aggregator() -> Aggregator {
+        let settings: serde_json::Value =
+            serde_json::from_str(include_str!("../../model/tests/settings.json")).unwrap();
+        let site = decode(&Message::new("settings", settings.as_object().unwrap())).unwrap();
+        let mut aggregator = Aggregator::new(site.settings, 7);
+        let member = |n: usize, state| Member {
+            node: NodeId(format!("s{n}").into()),
+            cell: 0,
+            state,
+            zone: None,
+            started: (n == 2).then_some(900.0),
+        };
+        let members =
+            vec![member(0, NodeState::Serving), member(1, NodeState::Serving), member(2, NodeState::Serving)];
+        aggregator.on_batch(1000.0, vec![Event::List { kind: ListKind::Complete, members }]);
+        aggregator
+    }
+
+    fn sick(aggregator: &mut Aggregator) {
+        let bulk = |n: usize, served, errors| crate::view::Bulk {
+            node: NodeId(format!("s{n}").into()),
+            served,
+            errors,
+            lost: 0,
+            elapsed: Some(10.0),
+        };
+        aggregator.report_bulk(1000.0, ClassIndex(0), &[bulk(0, 8, 0), bulk(1, 0, 8)]);
+    }
+
+    /// The new one passes over whom the old one did, for as long as that would have, and knows who is well.
+    #[test]
+    fn what_was_known_is_known_by_another() {
+        let mut old = aggregator();
+        sick(&mut old);
+        let mut recall = old.recall(1100.0);
+        recall.classes.iter_mut().for_each(|c| c.name = "c".into());
+        let mut new = aggregator();
+        new.remember(5000.0, 50.0, &recall);
+        let (was, is) = (old.views(1150.0), new.views(5000.0));
+        let left = was[1].ejected_until.unwrap() - 1150.0;
+        assert!((is[1].ejected_until.unwrap() - 5000.0 - left).abs() < 1e-6, "{was:?} {is:?}");
+        assert!(is[0].ejected_until.is_none() && is[0].pace == was[0].pace && is[1].errors == was[1].errors);
+    }
+
+    /// What was sent to a cold server within the window counts for the one that takes over.
+    #[test]
+    fn the_allowance_of_a_cold_server_is_spent_once() {
+        let mut recall = aggregator().recall(1000.0);
+        let cold = recall.servers.iter_mut().find(|s| s.name == "s2").unwrap();
+        cold.cold_sent = vec![(100.0, 40.0), (950.0, 9.0), (f64::NAN, 1.0)];
+        let mut new = aggregator();
+        new.remember(1000.0, 100.0, &recall);
+        let spent = &new.recall(1000.0).servers[2].cold_sent;
+        assert_eq!(
+            spent.as_slice(),
+            [(200.0, 40.0)],
+            "what has left the window, and what is no figure, is left out"
+        );
+    }
+
+    #[test]
+    fn own_news_goes_before_what_another_knew_and_noise_is_passed_over() {
+        let mut old = aggregator();
+        sick(&mut old);
+        let mut recall = old.recall(1000.0);
+        let mut new = aggregator();
+        sick(&mut new);
+        let before = new.recall(1200.0);
+        new.remember(1200.0, 0.0, &Recall { fleet_pace: f64::NAN, served_rate: 0.0, ..recall.clone() });
+        assert_eq!(new.recall(1200.0).servers, before.servers);
+        recall.servers[1].pace = f64::INFINITY;
+        recall.servers[0].name = "s9".into();
+        let mut new = aggregator();
+        let before = new.recall(1200.0).servers;
+        new.remember(1200.0, 0.0, &recall);
+        assert_eq!(new.recall(1200.0).servers, before);
+    }
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -10,6 +10,7 @@
 use serde_json::Value;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 /// Sockets where the configuration names no limit: the least that deployments give.
 const SOCKETS: u64 = 1024;
@@ -40,6 +41,9 @@
     pub ops: Option<SocketAddr>,
     /// The descriptor on which the platform holds the clients' listening socket, where it does.
     pub inherited: Option<i32>,
+    /// Where processes that are one broker find each other: only where the platform holds the clients' socket, so that
+    /// there may be two.
+    pub hand_over: Option<PathBuf>,
     /// What another file is held against at SIGHUP.
     pub in_force: InForce,
     /// Where discovery is.
@@ -213,6 +217,7 @@
         name,
         listen,
         ops,
+        hand_over: inherited.and_then(|_| env_of("TMPDIR")).map(PathBuf::from),
         inherited,
         discovery: address("RELAY_DISCOVERY", "discovery")?,
         seed,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 use brookbend::view::{Bulk, ServerView};
 use places::Places;
 use plover_model::query::{AttemptId, Names, PartSpec, QueryId, QueryLimits};
+use plover_model::recall::Recall;
 use plover_model::server::{ListScope, NodeId, Outcome, ServerInfo, View};
 use plover_model::time::{MILLI, Micros, millis};
 use std::collections::{BTreeMap, BTreeSet};
@@ -133,6 +134,9 @@
     aggregator: Aggregator,
     settings: Settings,
     max_open: usize,
+    /// Queries and parts that other processes of this broker have in hand, and how many processes there are.
+    elsewhere: usize,
+    copies: usize,
     /// Queries and parts in hand.
     held: usize,
     open: BTreeMap<QueryId, Open>,
@@ -155,6 +159,8 @@
             aggregator: Aggregator::new(settings.clone(), seed),
             settings,
             max_open,
+            elsewhere: 0,
+            copies: 1,
             held: 0,
             open: BTreeMap::new(),
             ends: BTreeSet::new(),
@@ -182,7 +188,44 @@
         self.places.adopt(placed);
         self.settings = placed.settings.clone();
         self.max_open = max_open;
-        self.aggregator.retune(self.settings.clone(), &placed.begun);
+        self.aggregator.retune(self.shared_settings(), &placed.begun);
+    }
+
+    /// The room that queries of other processes of this broker take.
+    pub fn set_elsewhere(&mut self, units: usize) {
+        self.elsewhere = units;
+    }
+
+    /// So many processes are this broker from now on: what all brokers may send to a cold server is divided among more.
+    pub fn set_copies(&mut self, copies: u32) {
+        let copies = copies.max(1) as usize;
+        if std::mem::replace(&mut self.copies, copies) != copies {
+            self.aggregator.retune(self.shared_settings(), &[]);
+        }
+    }
+
+    fn shared_settings(&self) -> Settings {
+        let aggregators = self.settings.aggregators.saturating_mul(self.copies);
+        Settings { aggregators, ..self.settings.clone() }
+    }
+
+    /// What is known of servers and classes, for a process that takes over.
+    pub fn recall(&self, now: Micros, rev: u64) -> Recall {
+        let mut recall = self.aggregator.recall(to_ms(now));
+        recall.rev = rev;
+        for (class, name) in recall.classes.iter_mut().zip(self.places.live()) {
+            class.name = name;
+        }
+        recall
+    }
+
+    /// Takes what a process before this one knew, this long ago.
+    pub fn remember(&mut self, now: Micros, age: Micros, recall: &Recall) {
+        let known =
+            |name: String| recall.classes.iter().find(|c| !name.is_empty() && c.name == name).cloned();
+        let classes = self.places.live().into_iter().map(|name| known(name).unwrap_or_default()).collect();
+        let recall = Recall { classes, ..recall.clone() };
+        self.aggregator.remember(to_ms(now), to_ms(age), &recall);
     }
 
     /// Takes news of the list of servers. It counts from the next call on.
@@ -234,7 +277,7 @@
         let before = self.attempts_before.map(|(_, most)| most);
         for q in queries {
             let needs = 1 + q.parts.len();
-            if self.held + needs > self.max_open {
+            if self.held + self.elsewhere + needs > self.max_open {
                 let retry_after = no_room_advice(&self.settings, q.class).map(millis);
                 refused.push(Final { query: q.id, verdict: Verdict::Refuse { retry_after } });
                 continue;
--- a/crates/core/src/places.rs
+++ b/crates/core/src/places.rs
@@ -147,6 +147,11 @@
         self.classes.iter_mut().zip(open).for_each(|(p, open)| p.open = open);
     }
 
+    /// The names of the classes in force, by index; empty where one has left.
+    pub(crate) fn live(&self) -> Vec<String> {
+        self.classes.iter().map(|p| if p.left.is_none() { p.name.clone() } else { String::new() }).collect()
+    }
+
     pub(crate) fn open(&mut self, class: usize) {
         if let Some(place) = self.classes.get_mut(class) {
             place.open += 1;
--- /dev/null
+++ b/crates/handover/src/neighbours.rs
@@ -0,0 +1,455 @@
+//! What one process knows of its neighbours, and what it may do therefore.
+
+use crate::wire::{Fault, Greeting, Proof, Reader, Word, greet, say};
+use plover_model::recall::Recall;
+use plover_model::time::{MILLI, Micros, SECOND};
+use std::collections::{BTreeMap, VecDeque};
+
+/// Number of a link, never used twice.
+pub type LinkId = u64;
+
+/// Neighbours that are listened to at once: one is usual, two where a third process starts in the middle.
+pub const MOST_LINKS: usize = 4;
+/// Most that waits to be written to a neighbour.
+const MOST_WAITING: usize = 8 << 20;
+
+/// This process.
+pub type Me = Greeting;
+
+/// Times that bound what a neighbour may leave open.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Times {
+    /// A greeting, and all that was known before, comes within this time.
+    pub greeting: Micros,
+    /// A neighbour that takes nothing for this long is given up.
+    pub stall: Micros,
+    /// For so long after an unknown neighbour has gone may its keys come back here: the window in which servers drop
+    /// repeats, and the longest that a client goes on asking.
+    pub quarantine: Micros,
+}
+
+impl Default for Times {
+    fn default() -> Self {
+        Times { greeting: 1500 * MILLI, stall: SECOND, quarantine: 10 * SECOND }
+    }
+}
+
+/// Whether a part of a keyed class may be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Keyed {
+    /// All that neighbours have sent is known, and they know what was sent here.
+    May,
+    /// Not before this moment; [`Micros::MAX`]: nobody can tell yet.
+    Wait(Micros),
+}
+
+/// What a neighbour has told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum News {
+    /// It is one broker with us from now on; true: it is the older one.
+    Joined(bool),
+    /// What it knows of servers and classes.
+    Recall(Box<Recall>),
+    /// Something about a key, to be put into the register as it stands.
+    Key(Word),
+    /// It has gone, and with it all that it had in hand: these keys' attempts may run on until their time is over.
+    Gone,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum State {
+    /// Its greeting is awaited, since then.
+    Greeting(Micros),
+    /// It tells what it knew before, since then.
+    Telling(Micros),
+    /// It is one broker with us.
+    Joined,
+    /// It lives, and is not understood, or has stopped taking what is said. Nothing is known of what it sends.
+    Strange,
+}
+
+#[derive(Clone, Debug)]
+struct Link {
+    state: State,
+    reader: Reader,
+    peer: Option<Greeting>,
+    /// What is not written yet, and since when something has been waiting.
+    waiting: VecDeque<u8>,
+    waiting_since: Micros,
+    /// Its queries in hand: the room, and the section that counts it.
+    open: BTreeMap<String, (u32, Option<String>)>,
+}
+
+/// All neighbours of a process.
+#[derive(Clone, Debug)]
+pub struct Neighbours {
+    me: Me,
+    times: Times,
+    links: BTreeMap<LinkId, Link>,
+    /// Neighbours that live but have lost us, by their process: the newer goes on, the older holds back.
+    estranged: Vec<u32>,
+    /// Until when keys of unknown neighbours may come back.
+    quarantine: Micros,
+}
+
+impl Neighbours {
+    /// None yet.
+    pub fn new(me: Me, times: Times) -> Self {
+        Neighbours { me, times, links: BTreeMap::new(), estranged: Vec::new(), quarantine: 0 }
+    }
+
+    /// A connection to a neighbour is up. False: there are too many, and it is to be closed.
+    pub fn connected(&mut self, now: Micros, id: LinkId) -> bool {
+        if self.links.len() >= MOST_LINKS {
+            return false;
+        }
+        let waiting = greet(&self.me).into();
+        let link = Link {
+            state: State::Greeting(now),
+            reader: Reader::default(),
+            peer: None,
+            waiting,
+            waiting_since: now,
+            open: BTreeMap::new(),
+        };
+        self.links.insert(id, link);
+        true
+    }
+
+    /// Takes what has come on a link. After an error nothing more is read from it; it stays open, since its closing is how
+    /// the neighbour's end is told from its silence.
+    pub fn received(&mut self, now: Micros, id: LinkId, bytes: &[u8]) -> (Vec<News>, Option<Fault>) {
+        let mut news = Vec::new();
+        let fault = self.read(now, id, bytes, &mut news).err();
+        if fault.is_some()
+            && let Some(link) = self.links.get_mut(&id)
+        {
+            link.state = State::Strange;
+        }
+        (news, fault)
+    }
+
+    fn read(&mut self, now: Micros, id: LinkId, bytes: &[u8], news: &mut Vec<News>) -> Result<(), Fault> {
+        let Some(link) = self.links.get_mut(&id).filter(|l| l.state != State::Strange) else { return Ok(()) };
+        link.reader.feed(bytes);
+        if let State::Greeting(_) = link.state {
+            let Some(greeting) = link.reader.greeting()? else { return Ok(()) };
+            // A process of another broker in the same place is none of ours.
+            if greeting.name != self.me.name {
+                return Err(Fault::Word);
+            }
+            link.peer = Some(greeting);
+            link.state = State::Telling(now);
+        }
+        let older = link.peer.as_ref().is_some_and(|p| is_older(p, &self.me));
+        while let Some(word) = link.reader.word()? {
+            match word {
+                // One that has just come knows nothing that is not known here.
+                Word::Recall(recall) if older => news.push(News::Recall(recall)),
+                Word::Recall(_) => {}
+                Word::Told => {
+                    link.state = State::Joined;
+                    news.push(News::Joined(older));
+                }
+                Word::Opened { id, units, owner } => _ = link.open.insert(id, (units, owner)),
+                Word::Closed { id } => _ = link.open.remove(&id),
+                key => news.push(News::Key(key)),
+            }
+        }
+        Ok(())
+    }
+
+    /// Whether this link's neighbour has greeted and was told nothing yet: it is owed all that is known, and
+    /// [`Word::Told`] after it.
+    pub fn is_owed(&self, id: LinkId) -> bool {
+        self.links.get(&id).is_some_and(|l| l.peer.is_some())
+    }
+
+    /// Tells one neighbour something.
+    pub fn tell(&mut self, now: Micros, id: LinkId, word: &Word) {
+        let Some(link) = self.links.get_mut(&id).filter(|l| l.state != State::Strange) else { return };
+        match say(word) {
+            Some(frame) if link.waiting.len() + frame.len() <= MOST_WAITING => {
+                if link.waiting.is_empty() {
+                    link.waiting_since = now;
+                }
+                link.waiting.extend(frame);
+            }
+            // What cannot be said is not known to it.
+            _ => link.state = State::Strange,
+        }
+    }
+
+    /// The links whose neighbours have greeted.
+    pub fn links(&self) -> Vec<LinkId> {
+        self.links.iter().filter(|(_, l)| l.peer.is_some()).map(|(id, _)| *id).collect()
+    }
+
+    /// What is to be written to a link next.
+    pub fn waiting(&mut self, id: LinkId) -> &[u8] {
+        match self.links.get_mut(&id) {
+            Some(link) => link.waiting.make_contiguous(),
+            None => &[],
+        }
+    }
+
+    /// So much of it is written.
+    pub fn wrote(&mut self, now: Micros, id: LinkId, bytes: usize) {
+        if let Some(link) = self.links.get_mut(&id) {
+            link.waiting.drain(..bytes.min(link.waiting.len()));
+            link.waiting_since = now;
+        }
+    }
+
+    /// A link has ended; `alive`: its process runs on. All that came on it has been read before.
+    pub fn lost(&mut self, now: Micros, id: LinkId, alive: bool) -> Vec<News> {
+        let Some(link) = self.links.remove(&id) else { return Vec::new() };
+        let newer = link.peer.as_ref().is_some_and(|p| !is_older(p, &self.me));
+        let unknown = match link.state {
+            State::Joined => false,
+            // One that has come after us sends nothing before it has said so.
+            State::Telling(_) => !newer,
+            State::Greeting(_) | State::Strange => true,
+        };
+        let pid = link.peer.as_ref().map(|p| p.pid).filter(|_| alive);
+        if let Some(pid) = pid {
+            self.estranged.push(pid);
+            // The newer one knows all that the older one sent, since that holds back from now on. The older one cannot
+            // know what the newer one goes on to send.
+            if unknown || newer {
+                self.quarantine = Micros::MAX;
+            }
+        } else if unknown {
+            self.quarantine = self.quarantine.max(now.saturating_add(self.times.quarantine));
+        }
+        vec![News::Gone]
+    }
+
+    /// Processes that have lost us and lived on: to be looked after, until [`Neighbours::buried`] is told of each.
+    pub fn estranged(&self) -> &[u32] {
+        &self.estranged
+    }
+
+    /// An estranged process has ended.
+    pub fn buried(&mut self, now: Micros, pid: u32) {
+        self.estranged.retain(|p| *p != pid);
+        if self.estranged.is_empty() && self.quarantine == Micros::MAX {
+            self.quarantine = now.saturating_add(self.times.quarantine);
+        }
+    }
+
+    /// Moves on with time. Links that are given up are to be closed.
+    pub fn tick(&mut self, now: Micros) -> Vec<LinkId> {
+        let mut closed = Vec::new();
+        for (id, link) in &mut self.links {
+            match link.state {
+                State::Greeting(since) | State::Telling(since) if now >= since + self.times.greeting => {
+                    link.state = State::Strange;
+                }
+                State::Joined if !link.waiting.is_empty() && now >= link.waiting_since + self.times.stall => {
+                    closed.push(*id);
+                }
+                _ => {}
+            }
+        }
+        closed
+    }
+
+    /// When [`Neighbours::tick`] is due.
+    pub fn due(&self) -> Option<Micros> {
+        let due = |l: &Link| match l.state {
+            State::Greeting(since) | State::Telling(since) => Some(since + self.times.greeting),
+            State::Joined if !l.waiting.is_empty() => Some(l.waiting_since + self.times.stall),
+            _ => None,
+        };
+        self.links.values().filter_map(due).min()
+    }
+
+    /// Whether a part of a keyed class may be sent now.
+    pub fn keyed(&self, now: Micros) -> Keyed {
+        // One that has come after us sends nothing before it has heard all that we know.
+        let heard = |l: &Link| match l.state {
+            State::Joined => true,
+            State::Telling(_) => l.peer.as_ref().is_some_and(|p| !is_older(p, &self.me)),
+            State::Greeting(_) | State::Strange => false,
+        };
+        let known = |l: &Link| heard(l) && l.waiting.is_empty();
+        if !self.links.values().all(known) {
+            return Keyed::Wait(Micros::MAX);
+        }
+        if now < self.quarantine { Keyed::Wait(self.quarantine) } else { Keyed::May }
+    }
+
+    /// How many processes are this broker, as far as anybody knows.
+    pub fn copies(&self) -> u32 {
+        1 + self.links.len() as u32 + self.estranged.len() as u32
+    }
+
+    /// Whether a neighbour has a request of this id in hand.
+    pub fn has(&self, request: &str) -> bool {
+        self.links.values().any(|l| l.open.contains_key(request))
+    }
+
+    /// The room that neighbours' queries take.
+    pub fn units(&self) -> usize {
+        self.links.values().flat_map(|l| l.open.values()).map(|(units, _)| *units as usize).sum()
+    }
+
+    /// Neighbours' queries that count for a section of the operator's file.
+    pub fn in_hand(&self, owner: &str) -> u32 {
+        let queries = self.links.values().flat_map(|l| l.open.values());
+        queries.filter(|(_, o)| o.as_deref() == Some(owner)).count() as u32
+    }
+
+    /// Whether every neighbour has been heard out, or been given up: a process that starts waits for this.
+    pub fn is_settled(&self) -> bool {
+        self.links.values().all(|l| matches!(l.state, State::Joined | State::Strange))
+    }
+}
+
+/// Who started first; of two in one moment, the one of the lower number.
+fn is_older(a: &Greeting, b: &Greeting) -> bool {
+    (a.started, a.pid) < (b.started, b.pid)
+}
+
+/// What an attempt's end proves, as a register of keys has it.
+impl Proof {
+    /// Whether it may have run.
+    pub fn may_have_run(self) -> bool {
+        self != Proof::NeverRan
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn side(started: Micros) -> Neighbours {
+        let me = Greeting { name: "n0".into(), started, pid: started as u32 };
+        Neighbours::new(me, Times::default())
+    }
+
+    /// Carries what waits on one side's link to the other; what came of it there.
+    fn carry(now: Micros, from: &mut Neighbours, to: &mut Neighbours) -> Vec<News> {
+        let bytes = from.waiting(1).to_vec();
+        from.wrote(now, 1, bytes.len());
+        let (news, fault) = to.received(now, 1, &bytes);
+        assert_eq!(fault, None);
+        news
+    }
+
+    fn joined() -> (Neighbours, Neighbours) {
+        let (mut old, mut new) = (side(1), side(2));
+        assert!(old.connected(10, 1) && new.connected(10, 1));
+        assert!(carry(10, &mut old, &mut new).is_empty() && carry(10, &mut new, &mut old).is_empty());
+        for side in [&mut old, &mut new] {
+            assert!(side.is_owed(1));
+            side.tell(10, 1, &Word::Told);
+        }
+        assert_eq!(carry(10, &mut old, &mut new), [News::Joined(true)]);
+        assert_eq!(carry(10, &mut new, &mut old), [News::Joined(false)]);
+        assert_eq!((old.keyed(10), new.keyed(10)), (Keyed::May, Keyed::May));
+        (old, new)
+    }
+
+    #[test]
+    fn what_is_in_hand_is_in_hand_of_both() {
+        let (mut old, mut new) = joined();
+        old.tell(11, 1, &Word::Opened { id: "q".into(), units: 4, owner: Some("defaults".into()) });
+        assert_eq!(old.keyed(11), Keyed::Wait(Micros::MAX), "it does not know yet");
+        carry(11, &mut old, &mut new);
+        assert!(new.has("q") && !new.has("r"));
+        assert_eq!((new.units(), new.in_hand("defaults"), new.in_hand("x"), new.copies()), (4, 1, 0, 2));
+        old.tell(12, 1, &Word::Closed { id: "q".into() });
+        carry(12, &mut old, &mut new);
+        assert_eq!((new.has("q"), new.units()), (false, 0));
+    }
+
+    #[test]
+    fn the_new_one_goes_on_when_the_old_one_has_gone() {
+        let (_, mut new) = joined();
+        assert_eq!(new.lost(20, 1, false), [News::Gone]);
+        assert_eq!((new.keyed(20), new.copies()), (Keyed::May, 1));
+    }
+
+    /// Both live and have lost each other: one goes on.
+    #[test]
+    fn of_two_that_have_lost_each_other_the_older_holds_back() {
+        let (mut old, mut new) = joined();
+        old.lost(20, 1, true);
+        new.lost(20, 1, true);
+        assert_eq!((old.keyed(20), new.keyed(20)), (Keyed::Wait(Micros::MAX), Keyed::May));
+        assert_eq!((old.estranged(), old.copies()), ([2].as_slice(), 2));
+        old.buried(30, 2);
+        let until = 30 + Times::default().quarantine;
+        assert_eq!((old.keyed(31), old.keyed(until)), (Keyed::Wait(until), Keyed::May));
+    }
+
+    /// A neighbour of another version, noise, or silence: nothing is known of what it sends while it lives, nor what its
+    /// clients bring here afterwards.
+    #[test]
+    fn what_is_not_understood_counts_against_us() {
+        let other = |bytes: Option<&[u8]>| {
+            let mut side = side(1);
+            side.connected(0, 1);
+            if let Some(bytes) = bytes {
+                assert!(side.received(1, 1, bytes).1.is_some());
+            }
+            side.tick(Times::default().greeting);
+            side
+        };
+        let mut next = greet(&Greeting { name: "n0".into(), started: 9, pid: 9 });
+        next[9] = 7;
+        let foreign = greet(&Greeting { name: "n1".into(), started: 9, pid: 9 });
+        for bytes in [None, Some(next.as_slice()), Some(&foreign), Some(b"\0\0\0\x07garbage")] {
+            let mut side = other(bytes);
+            assert_eq!(
+                (side.keyed(SECOND), side.is_settled()),
+                (Keyed::Wait(Micros::MAX), true),
+                "{bytes:?}"
+            );
+            side.lost(2 * SECOND, 1, false);
+            let until = 2 * SECOND + Times::default().quarantine;
+            assert_eq!((side.keyed(until - 1), side.keyed(until)), (Keyed::Wait(until), Keyed::May));
+        }
+    }
+
+    #[test]
+    fn one_that_takes_nothing_is_given_up() {
+        let (mut old, _) = joined();
+        old.tell(100, 1, &Word::Closed { id: "q".into() });
+        let stall = Times::default().stall;
+        assert_eq!((old.due(), old.tick(99 + stall)), (Some(100 + stall), vec![]));
+        assert_eq!(old.tick(100 + stall), [1]);
+        // And nothing is let pile up: what does not fit was not told.
+        let (mut old, _) = joined();
+        let long = Word::KeyOpened { key: "k".repeat(1 << 19), until: 0 };
+        (0..17).for_each(|_| old.tell(100, 1, &long));
+        assert!(old.waiting(1).len() <= MOST_WAITING);
+        assert_eq!((old.keyed(100), old.links[&1].state.clone()), (Keyed::Wait(Micros::MAX), State::Strange));
+    }
+
+    /// One that dies before it has joined has sent nothing, if it came after us.
+    #[test]
+    fn a_new_one_that_dies_at_once_leaves_nothing_behind() {
+        let (mut old, mut new) = (side(1), side(2));
+        assert!(old.connected(10, 1) && new.connected(10, 1));
+        carry(10, &mut new, &mut old);
+        old.lost(20, 1, false);
+        assert_eq!((old.keyed(20), old.copies()), (Keyed::May, 1));
+        carry(10, &mut old, &mut new);
+        new.lost(20, 1, false);
+        assert_eq!(
+            new.keyed(20),
+            Keyed::Wait(20 + Times::default().quarantine),
+            "what the old one sent is not known"
+        );
+    }
+
+    #[test]
+    fn a_third_process_is_heard_and_a_crowd_is_not() {
+        let mut side = side(1);
+        assert!((0..MOST_LINKS as u64).all(|id| side.connected(0, id)));
+        assert!(!side.connected(0, 99));
+    }
+}
--- /dev/null
+++ b/crates/handover/src/wire.rs
@@ -0,0 +1,256 @@
+//! What neighbours say to each other.
+//!
+//! A frame is the length of the rest (four bytes, most significant first, [`LONGEST`] at the most) and the rest. The first
+//! frame of each side is its greeting: [`MAGIC`], the version (two bytes, most significant first), and the rest as that
+//! version has it. All later frames hold one [`Word`] as postcard encodes it (postcard.jamesmunns.com, wire format 1.0).
+
+use plover_model::recall::Recall;
+use plover_model::time::Micros;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// The first bytes of a greeting.
+pub const MAGIC: [u8; 4] = *b"PLVH";
+/// The version that is spoken here.
+pub const VERSION: u16 = 1;
+/// Longest rest of a frame, in bytes: what is known of some thousand servers.
+pub const LONGEST: usize = 1 << 20;
+
+/// Who says hello.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Greeting {
+    /// The broker's name: only processes of one broker are one broker.
+    pub name: String,
+    /// When the process started, on the machine's monotonic clock.
+    pub started: Micros,
+    /// The process, by the system's number.
+    pub pid: u32,
+}
+
+/// What an attempt's end proves, see `plover_repeats`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Proof {
+    /// It never ran.
+    NeverRan,
+    /// It ran.
+    Ran,
+    /// It may have run.
+    MayRun,
+}
+
+/// What is told after the greetings.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Word {
+    /// What is known of servers and classes.
+    Recall(Box<Recall>),
+    /// All that was known at the greeting has been told.
+    Told,
+    /// A query is in hand.
+    Opened {
+        /// Its request's id.
+        id: String,
+        /// The room that it takes.
+        units: u32,
+        /// The section of the operator's file that counts it, if one does.
+        owner: Option<String>,
+    },
+    /// It has ended.
+    Closed {
+        /// Its request's id.
+        id: String,
+    },
+    /// A query of a key is in hand, until then at the latest.
+    KeyOpened {
+        /// The key.
+        key: String,
+        /// When its client gives up.
+        until: Micros,
+    },
+    /// A part is about to be sent under a key.
+    KeySent {
+        /// The key.
+        key: String,
+        /// The part's shard.
+        shard: u32,
+        /// When.
+        at: Micros,
+        /// Until when it is waited for.
+        until: Micros,
+    },
+    /// That attempt has ended.
+    KeyEnded {
+        /// The key.
+        key: String,
+        /// The part's shard.
+        shard: u32,
+        /// When.
+        at: Micros,
+        /// What that proves.
+        proof: Proof,
+    },
+    /// The query of the key has ended.
+    KeyClosed {
+        /// The key.
+        key: String,
+        /// When.
+        at: Micros,
+        /// Whether its client was answered.
+        answered: bool,
+    },
+}
+
+/// What cannot be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum Fault {
+    /// The first bytes are not those of a greeting.
+    #[error("it is no neighbour: the first bytes are not a greeting's")]
+    Magic,
+    /// Another version is spoken.
+    #[error("it speaks version {0} of the hand-over, not {VERSION}")]
+    Version(u16),
+    /// A frame is longer than any.
+    #[error("a frame of {0} bytes, {LONGEST} at the most")]
+    TooLong(usize),
+    /// A frame holds what is no word.
+    #[error("a frame that holds no word")]
+    Word,
+}
+
+/// Encodes a greeting as a whole frame.
+pub fn greet(greeting: &Greeting) -> Vec<u8> {
+    let mut rest = MAGIC.to_vec();
+    rest.extend(VERSION.to_be_bytes());
+    rest.extend(postcard::to_allocvec(greeting).unwrap_or_default());
+    frame(&rest)
+}
+
+/// Encodes a word as a whole frame; `None`: it is longer than any may be.
+pub fn say(word: &Word) -> Option<Vec<u8>> {
+    postcard::to_allocvec(word).ok().filter(|rest| rest.len() <= LONGEST).map(|rest| frame(&rest))
+}
+
+fn frame(rest: &[u8]) -> Vec<u8> {
+    let mut out = Vec::with_capacity(4 + rest.len());
+    out.extend((rest.len() as u32).to_be_bytes());
+    out.extend(rest);
+    out
+}
+
+/// Takes frames out of what has come, in whatever pieces.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Reader {
+    input: Vec<u8>,
+}
+
+impl Reader {
+    /// Takes what has come.
+    pub fn feed(&mut self, bytes: &[u8]) {
+        self.input.extend(bytes);
+    }
+
+    fn next(&mut self) -> Result<Option<Vec<u8>>, Fault> {
+        let Some((length, rest)) = self.input.split_first_chunk::<4>() else { return Ok(None) };
+        let length = u32::from_be_bytes(*length) as usize;
+        if length > LONGEST {
+            return Err(Fault::TooLong(length));
+        }
+        let Some(frame) = rest.get(..length).map(<[u8]>::to_vec) else { return Ok(None) };
+        self.input.drain(..4 + length);
+        Ok(Some(frame))
+    }
+
+    /// The greeting, once it is there.
+    pub fn greeting(&mut self) -> Result<Option<Greeting>, Fault> {
+        // Noise is told from a greeting before its length is believed.
+        let magic = self.input.get(4..).unwrap_or_default();
+        if !magic.iter().zip(MAGIC).all(|(a, b)| *a == b) {
+            return Err(Fault::Magic);
+        }
+        let Some(frame) = self.next()? else { return Ok(None) };
+        let Some(rest) = frame.strip_prefix(&MAGIC) else { return Err(Fault::Magic) };
+        let Some((version, rest)) = rest.split_first_chunk::<2>() else { return Err(Fault::Word) };
+        match u16::from_be_bytes(*version) {
+            VERSION => postcard::from_bytes(rest).map(Some).map_err(|_| Fault::Word),
+            other => Err(Fault::Version(other)),
+        }
+    }
+
+    /// The next word, once it is there.
+    pub fn word(&mut self) -> Result<Option<Word>, Fault> {
+        let Some(frame) = self.next()? else { return Ok(None) };
+        postcard::from_bytes(&frame).map(Some).map_err(|_| Fault::Word)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn greeting() -> Greeting {
+        Greeting { name: "n3".into(), started: 7, pid: 9 }
+    }
+
+    fn words() -> Vec<Word> {
+        vec![
+            Word::Told,
+            Word::KeySent { key: "k".into(), shard: 3, at: 5, until: u64::MAX },
+            Word::KeyEnded { key: "k".into(), shard: 3, at: 6, proof: Proof::MayRun },
+            Word::Opened { id: "9b1f".into(), units: 4, owner: Some("defaults".into()) },
+            Word::Recall(Box::default()),
+        ]
+    }
+
+    /// In whatever pieces it comes, the same is read.
+    #[test]
+    fn words_come_in_pieces() {
+        let bytes: Vec<u8> =
+            greet(&greeting()).into_iter().chain(words().iter().flat_map(|w| say(w).unwrap())).collect();
+        for step in [1, 2, 3, 7, bytes.len()] {
+            let mut reader = Reader::default();
+            let (mut greeted, mut read) = (None, Vec::new());
+            for piece in bytes.chunks(step) {
+                reader.feed(piece);
+                if greeted.is_none() {
+                    greeted = reader.greeting().unwrap();
+                }
+                while let Some(word) = greeted.as_ref().and_then(|_| reader.word().unwrap()) {
+                    read.push(word);
+                }
+            }
+            assert_eq!((greeted, read), (Some(greeting()), words()), "pieces of {step}");
+        }
+    }
+
+    #[test]
+    fn what_is_no_neighbour_is_told_from_its_first_bytes() {
+        let read = |bytes: &[u8]| {
+            let mut reader = Reader::default();
+            reader.feed(bytes);
+            reader.greeting()
+        };
+        assert_eq!(read(b"GET / HTTP/1.1\r\n"), Err(Fault::Magic));
+        assert_eq!(read(&[0, 0]), Ok(None));
+        let mut other = greet(&greeting());
+        other[9] = 2;
+        assert_eq!(read(&other), Err(Fault::Version(2)));
+        assert_eq!(read(&[0xff, 0xff, 0xff, 0xff, b'P', b'L', b'V', b'H']), Err(Fault::TooLong(0xffff_ffff)));
+    }
+
+    proptest! {
+        /// Noise is an error or no whole frame, never a panic, and claims no memory by its length.
+        #[test]
+        fn any_bytes(bytes in prop::collection::vec(any::<u8>(), 0..300), greeted in any::<bool>()) {
+            let mut reader = Reader::default();
+            if greeted {
+                reader.feed(&greet(&greeting()));
+                prop_assert_eq!(reader.greeting(), Ok(Some(greeting())));
+            }
+            reader.feed(&bytes);
+            for _ in 0..bytes.len() {
+                let more = if greeted { reader.word().map(|w| w.is_some()) } else { reader.greeting().map(|g| g.is_some()) };
+                if more != Ok(true) { break; }
+            }
+        }
+    }
+}
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -24,6 +24,13 @@
 #[must_use = "it has to be given back"]
 pub struct Permit(Option<Owner>);
 
+impl Permit {
+    /// The section that counts it, if one does.
+    pub fn owner(&self) -> Option<&Owner> {
+        self.0.as_ref()
+    }
+}
+
 /// A query that is not let in.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Refused {
@@ -44,6 +51,8 @@
     others: Option<(Rate, Bucket)>,
     /// Before this, full buckets are not looked for again.
     next_sweep: Micros,
+    /// Processes that are this broker together: each takes for all.
+    copies: u32,
     seed: u64,
     refused: u64,
 }
@@ -64,6 +73,7 @@
             buckets: BTreeMap::new(),
             others: None,
             next_sweep: 0,
+            copies: 1,
             seed,
             refused: 0,
         }
@@ -72,15 +82,34 @@
     /// Lets a query of a tenant in, or says when it may come back. A query that its limit in hand turns away costs its
     /// tenant no token.
     pub fn take(&mut self, now: Micros, limits: &QueryLimits, tenant: usize) -> Result<Permit, Refused> {
+        self.take_beside(now, limits, tenant, |_| 0)
+    }
+
+    /// So many processes are this broker from now on: while there are several, a query costs a token for each, so that
+    /// all together let no more in than one would.
+    pub fn set_copies(&mut self, copies: u32) {
+        self.copies = copies.max(1);
+    }
+
+    /// The same, where other processes of this broker have so many queries in hand that count for a section.
+    pub fn take_beside(
+        &mut self,
+        now: Micros,
+        limits: &QueryLimits,
+        tenant: usize,
+        elsewhere: impl Fn(&Owner) -> u32,
+    ) -> Result<Permit, Refused> {
         if let Some((owner, most)) = &limits.most_in_hand
-            && self.in_hand(owner) >= *most
+            && self.in_hand(owner).saturating_add(elsewhere(owner)) >= *most
         {
             return Err(self.refuse(owner, "most-in-hand", IN_HAND_WAIT));
         }
         if let Some((owner, rate)) = &limits.rate {
+            // A bucket that never holds so many would let none in at all.
+            let cost = self.copies.min(rate.burst);
             let bucket = self.bucket(now, owner, *rate, tenant);
-            if !bucket.take(now, 1) {
-                let wait = bucket.wait(1).unwrap_or(SECOND);
+            if !bucket.take(now, cost) {
+                let wait = bucket.wait(cost).unwrap_or(SECOND);
                 return Err(self.refuse(owner, "rate", wait));
             }
         }
--- a/crates/repeats/src/lib.rs
+++ b/crates/repeats/src/lib.rs
@@ -36,6 +36,39 @@
     MayRun,
 }
 
+/// What another process of this broker does with a key, in the order in which it does it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Heard {
+    /// It has a query of it in hand, until then at the latest.
+    Opened {
+        /// When its client gives up.
+        until: Micros,
+    },
+    /// It sends a part.
+    Sent {
+        /// The part's shard.
+        shard: usize,
+        /// When.
+        at: Micros,
+        /// Until when it is waited for.
+        until: Micros,
+    },
+    /// That attempt has ended.
+    Ended {
+        /// The part's shard.
+        shard: usize,
+        /// When.
+        at: Micros,
+        /// What that proves.
+        proof: Proof,
+    },
+    /// Its query has ended.
+    Closed {
+        /// Whether with an answer.
+        answered: bool,
+    },
+}
+
 /// What is known of one part under a key.
 #[derive(Clone, Debug, Default)]
 struct Part {
@@ -43,16 +76,20 @@
     first: Option<Micros>,
     /// Attempts that are out.
     out: u32,
+    /// Attempts of another process of this broker that are out: they end there, or with their time.
+    away: u32,
     /// Attempts that are over and may have run.
     ran: u32,
     /// Until when one that was given up may still be begun.
     until: Micros,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 struct Entry {
     /// When the time of the query in hand is over, if one is in hand.
     open: Option<Micros>,
+    /// The same for one that another process of this broker has in hand.
+    elsewhere: Option<Micros>,
     /// Whether the last query was answered: its client has no reason to ask again.
     answered: bool,
     parts: BTreeMap<usize, Part>,
@@ -92,7 +129,7 @@
     ) -> Verdict {
         self.sweep(now);
         if let Some(entry) = self.entries.get(key) {
-            if let Some(until) = entry.open {
+            if let Some(until) = entry.open.or(entry.elsewhere.filter(|until| *until > now)) {
                 return Verdict::Busy(until);
             }
             let mut busy = None;
@@ -115,12 +152,7 @@
                 None => return Verdict::Busy(give_up_at),
             }
         }
-        let entry = self.entries.entry(key.clone()).or_insert_with(|| Entry {
-            open: None,
-            answered: false,
-            parts: BTreeMap::new(),
-            forget_at: 0,
-        });
+        let entry = self.entries.entry(key.clone()).or_default();
         self.order.remove(&(entry.forget_at, key.clone()));
         self.spare.remove(&(entry.forget_at, key.clone()));
         entry.open = Some(give_up_at);
@@ -149,7 +181,7 @@
         let Some(part) = entry.parts.get_mut(&shard) else { return };
         part.out = part.out.saturating_sub(1);
         match proof {
-            Proof::NeverRan if part.out == 0 && part.ran == 0 => {
+            Proof::NeverRan if part.out == 0 && part.away == 0 && part.ran == 0 => {
                 entry.parts.remove(&shard);
             }
             Proof::NeverRan => {}
@@ -166,18 +198,91 @@
         let Some(entry) = self.entries.get_mut(key) else { return };
         entry.open = None;
         entry.answered = answered;
-        let last = entry.parts.values().map(|p| p.first.unwrap_or(now).max(p.until)).max().unwrap_or(now);
-        entry.forget_at = last + self.window + self.keep;
-        if entry.parts.is_empty() {
+        self.file(now, key);
+    }
+
+    /// Says by when an entry that is not in hand here may be forgotten, and forgets one that says nothing.
+    fn file(&mut self, now: Micros, key: &Rc<str>) {
+        let Some(entry) = self.entries.get_mut(key).filter(|e| e.open.is_none()) else { return };
+        self.order.remove(&(entry.forget_at, key.clone()));
+        self.spare.remove(&(entry.forget_at, key.clone()));
+        if entry.parts.is_empty() && entry.elsewhere.is_none() {
             self.entries.remove(key);
             return;
         }
+        let last = entry.parts.values().map(|p| p.first.unwrap_or(now).max(p.until)).max();
+        let last = last.max(entry.elsewhere).unwrap_or(now);
+        entry.forget_at = last + self.window + self.keep;
         self.order.insert((entry.forget_at, key.clone()));
-        if answered {
+        if entry.answered && entry.elsewhere.is_none() {
             self.spare.insert((entry.forget_at, key.clone()));
         }
     }
 
+    /// Another process of this broker has done something with a key. Such entries are kept beyond the most, up to twice as
+    /// many: the other holds no more of them itself.
+    pub fn hear(&mut self, now: Micros, key: &Rc<str>, heard: Heard) {
+        if !self.entries.contains_key(key) && self.entries.len() >= 2 * self.most {
+            return;
+        }
+        let entry = self.entries.entry(key.clone()).or_default();
+        match heard {
+            Heard::Opened { until } => {
+                entry.elsewhere = Some(until);
+                entry.answered = false;
+            }
+            Heard::Sent { shard, at, until } => {
+                let part = entry.parts.entry(shard).or_default();
+                part.first = Some(part.first.map_or(at, |first| first.min(at)));
+                part.until = part.until.max(until);
+                part.away += 1;
+            }
+            Heard::Ended { shard, at, proof } => {
+                if let Some(part) = entry.parts.get_mut(&shard) {
+                    part.away = part.away.saturating_sub(1);
+                    match proof {
+                        Proof::NeverRan if part.out + part.away + part.ran == 0 => {
+                            _ = entry.parts.remove(&shard)
+                        }
+                        Proof::NeverRan => {}
+                        Proof::Ran => {
+                            part.ran += 1;
+                            if part.out + part.away == 0 {
+                                part.until = at;
+                            }
+                        }
+                        Proof::MayRun => part.ran += 1,
+                    }
+                }
+            }
+            Heard::Closed { answered } => {
+                entry.elsewhere = None;
+                entry.answered |= answered;
+            }
+        }
+        self.file(now, key);
+    }
+
+    /// All that is known, as another process of this broker has to hear it.
+    pub fn tell(&self, mut to: impl FnMut(&Rc<str>, Heard)) {
+        for (key, entry) in &self.entries {
+            if let Some(until) = entry.open {
+                to(key, Heard::Opened { until });
+            }
+            for (&shard, part) in &entry.parts {
+                let Some(at) = part.first else { continue };
+                to(key, Heard::Sent { shard, at, until: part.until });
+                // One that is out is told of when it ends; the others have.
+                if part.out == 0 {
+                    to(key, Heard::Ended { shard, at: part.until, proof: Proof::MayRun });
+                }
+            }
+            if entry.open.is_none() {
+                to(key, Heard::Closed { answered: entry.answered });
+            }
+        }
+    }
+
     /// Other times, for what comes from now on.
     pub fn retune(&mut self, window: Micros, keep: Micros) {
         self.window = window;
--- a/crates/runtime/src/clock.rs
+++ b/crates/runtime/src/clock.rs
@@ -1,4 +1,4 @@
-//! The program's clock: whole microseconds on the monotonic clock, counted from the start of the program.
+//! The program's clock: whole microseconds on the monotonic clock, counted from a while before the start of the program.
 
 use async_io::Timer;
 use futures_lite::FutureExt;
@@ -6,24 +6,46 @@
 use std::io;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+/// What a process before this one did has a moment on this clock, back to so long before the start.
+const LEAD: Micros = 60_000_000;
+
 /// The program's clock. Copies tell the same time.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
     origin: Instant,
+    /// The origin on the monotonic clock that all processes of the machine share.
+    shared_origin: Micros,
     /// Unix time at the origin, in milliseconds.
     unix_origin: i64,
 }
 
 impl Clock {
-    /// A clock that starts at zero now.
+    /// A clock for a program that starts now; its zero is a minute ago.
     pub fn start() -> Self {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { origin: Instant::now(), unix_origin: unix.as_millis() as i64 }
+        let shared = rustix::time::clock_gettime(rustix::time::ClockId::Monotonic);
+        let shared_now = shared.tv_sec as Micros * 1_000_000 + shared.tv_nsec as Micros / 1000;
+        let lead = LEAD.min(shared_now);
+        let origin = Instant::now().checked_sub(span(lead));
+        let (origin, lead) = origin.map_or((Instant::now(), 0), |origin| (origin, lead));
+        Clock {
+            origin,
+            shared_origin: shared_now - lead,
+            unix_origin: unix.as_millis() as i64 - (lead / MILLI) as i64,
+        }
     }
     /// The time now.
     pub fn now(&self) -> Micros {
         self.origin.elapsed().as_micros() as Micros
     }
+    /// A moment as all processes of the machine count it.
+    pub fn shared(&self, at: Micros) -> Micros {
+        self.shared_origin.saturating_add(at)
+    }
+    /// A moment that another process of the machine named; 0 if it was before our origin.
+    pub fn of_shared(&self, at: Micros) -> Micros {
+        at.saturating_sub(self.shared_origin)
+    }
     /// The instant of a moment, for timers.
     pub fn instant(&self, at: Micros) -> Instant {
         self.origin + Duration::from_micros(at)
@@ -54,7 +76,7 @@
 
     #[test]
     fn unix_times_map_to_the_origin() {
-        let clock = Clock { origin: Instant::now(), unix_origin: 1_000_000 };
+        let clock = Clock { unix_origin: 1_000_000, ..Clock::start() };
         assert_eq!(clock.of_unix_ms(1_000_250), 250_000);
         assert_eq!(clock.of_unix_ms(999_000), -1_000_000);
         assert_eq!(clock.of_unix_ms(i64::MIN), i64::MIN);
