Tell a silent connection from a slow server by later answers on its others

Half answers waited 250 ms with new parts behind them.

Change: a connection on which nothing came since what is out was sent, four times as long ago as answers take, while the server answered later ones elsewhere, gets nothing new and is closed when an attempt on it is given up; so is one whose answer stopped for 20 ms.

--- a/crates/broker/src/upstream/mod.rs
+++ b/crates/broker/src/upstream/mod.rs
@@ -29,6 +29,14 @@
 /// An attempt given up in so many dial time-outs without a word on its connection makes that suspect: a cut
 /// link leaves connections open and silent, and TCP does not notice.
 const SILENT_DIALS: Micros = 2;
+/// So many times what answers take of late make one that has not come late, and at the least so long: one connection of
+/// a server may fall silent while the others go on, and what is sent on it is lost until that shows.
+const LATE: Micros = 4;
+const LATE_LEAST: Micros = 20 * MILLI;
+/// A frame that has begun and does not go on for so long: nothing further is sent behind it.
+const HALTED: Micros = 20 * MILLI;
+/// Weight of one answer in how long answers take.
+const NEWS: (Micros, Micros) = (1, 8);
 
 /// An attempt to send, with all that goes into its frame.
 #[derive(Clone, Debug)]
@@ -68,6 +76,23 @@
 struct Server {
     endpoint: Option<SocketAddr>,
     conns: BTreeSet<u64>,
+    /// How long answers take of late; 0: none has come.
+    usual: Micros,
+    /// When the newest attempt was sent that was answered.
+    answered: Micros,
+}
+
+impl Server {
+    fn hear(&mut self, sent: Micros, elapsed: Micros) {
+        self.answered = self.answered.max(sent);
+        let (of, all) = NEWS;
+        self.usual = if self.usual == 0 { elapsed } else { (self.usual * (all - of) + elapsed * of) / all };
+    }
+
+    /// Whether what was sent then should long be answered: later ones were.
+    fn is_late(&self, now: Micros, sent: Micros) -> bool {
+        self.answered > sent && now.saturating_sub(sent) >= (LATE * self.usual).max(LATE_LEAST)
+    }
 }
 
 struct Conn {
@@ -211,7 +236,8 @@
         let server = self.servers.get(name)?;
         let endpoint = server.endpoint?;
         let open = server.conns.iter().filter_map(|id| Some((*id, self.conns.get(id)?)));
-        let roomy = open.filter(|(_, c)| !c.retiring && c.out.len() + parts <= self.limits.multiplex);
+        let takes = |c: &Conn| !c.retiring && c.out.len() + parts <= self.limits.multiplex;
+        let roomy = open.filter(|(_, c)| takes(c) && !self.is_suspect(now, server, c));
         let best = roomy.min_by_key(|(_, c)| (c.out.len(), c.used));
         let most = (self.limits.sockets / self.servers.len().max(1)).clamp(1, PER_SERVER);
         if let Some((id, conn)) = best
@@ -243,6 +269,14 @@
         Some(id)
     }
 
+    /// Whether a connection has gone silent, or stopped within an answer, as far as that shows: nothing has come on it
+    /// since what is out was sent, though the server answers on others.
+    fn is_suspect(&self, now: Micros, server: &Server, conn: &Conn) -> bool {
+        let halted = conn.begun.is_some_and(|at| now.saturating_sub(at) >= HALTED);
+        let oldest = conn.out.values().filter_map(|a| Some(self.flights.get(a)?.sent)).min();
+        halted || oldest.is_some_and(|sent| conn.heard <= sent && server.is_late(now, sent))
+    }
+
     /// Makes room by closing the connection that has been idle for longest.
     fn evict(&mut self) -> bool {
         let idle = self.conns.iter().filter(|(_, c)| c.out.is_empty());
@@ -266,7 +300,10 @@
             }
             conn.given_up.push_back(wire.clone());
             conn.line.put(Item::GiveUp(wire));
-            conn.retiring |= conn.heard <= sent && now - sent >= SILENT_DIALS * self.limits.dial_timeout;
+            let late = self.servers.get(&conn.server).is_some_and(|s| s.is_late(now, sent));
+            let cut = now - sent >= SILENT_DIALS * self.limits.dial_timeout;
+            let halted = conn.begun.is_some_and(|at| now.saturating_sub(at) >= HALTED);
+            conn.retiring |= (conn.heard <= sent && (late || cut)) || halted;
             // Nothing gets through, the giving up neither: only the end of the connection keeps a further attempt
             // at the part from being a second one beside it.
             if conn.line.is_stuck() {
@@ -306,6 +343,11 @@
         match event {
             LineEvent::Frame(FromServer::Answer { id: wire, outcome, held, value }) => {
                 if let Some(&attempt) = conn.out.get(&wire) {
+                    if let (Some(server), Some(f)) =
+                        (self.servers.get_mut(&conn.server), self.flights.get(&attempt))
+                    {
+                        server.hear(f.sent, now.saturating_sub(f.sent));
+                    }
                     let value = (outcome == Outcome::Served).then_some(value);
                     return self.end(now, attempt, outcome, held, value);
                 }
@@ -446,249 +488,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::inbox::Input;
-    use futures_lite::future::{block_on, yield_now};
-    use std::net::TcpListener;
-
-    const SECOND: Micros = 1_000_000;
-
-    fn pool(limits: PoolLimits) -> (Upstream, TcpListener) {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let mut pool = Upstream::new(Rc::default(), Rc::default(), limits);
-        pool.learn(0, server(), Some(listener.local_addr().unwrap()));
-        (pool, listener)
-    }
-
-    fn limits() -> PoolLimits {
-        let (dial_timeout, keepalive) = (SECOND / 4, 15 * SECOND);
-        PoolLimits { sockets: 10, batch: 2, multiplex: 4, dial_timeout, keepalive }
-    }
-
-    fn server() -> NodeId {
-        NodeId("s0".into())
-    }
-
-    fn sends(query: u64, parts: usize) -> Vec<Send> {
-        let send = |part| Send {
-            attempt: AttemptId { query, part, attempt: 0 },
-            server: server(),
-            until: SECOND,
-            wire: format!("q{query}.{part}"),
-            shard: part,
-            key: None,
-            text: "c41e77d0".into(),
-        };
-        (0..parts).map(send).collect()
-    }
-
-    fn outcomes(pool: &mut Upstream, now: Micros) -> Vec<Outcome> {
-        pool.take_ended(now).iter().map(|e| e.outcome).collect()
-    }
-
-    fn broken() -> LineEvent {
-        LineEvent::Down(std::io::ErrorKind::ConnectionReset.into())
-    }
-
-    fn answer(wire: &str) -> LineEvent {
-        let (id, outcome, held) = (wire.to_owned(), Outcome::Served, Some(1.0));
-        LineEvent::Frame(FromServer::Answer { id, outcome, held, value: "v".to_owned() })
-    }
-
-    #[test]
-    fn calls_are_spread_over_a_few_connections_and_an_idle_one_is_used_again() {
-        let (mut pool, _listener) = pool(limits());
-        pool.dispatch(0, sends(1, 3));
-        assert_eq!(pool.open(), 2);
-        pool.hear(10, 1, answer("q1.2"));
-        pool.dispatch(20, sends(2, 1));
-        assert_eq!((pool.open(), pool.conns[&1].out.len()), (2, 1));
-        (3..20).for_each(|query| pool.dispatch(30, sends(query, 1)));
-        assert_eq!(pool.conns.values().map(|c| c.out.len()).collect::<Vec<_>>(), [4; 5]);
-    }
-
-    /// A server may close a connection right after its answer: the one that rested longest is the safest.
-    #[test]
-    fn of_idle_connections_the_one_that_rested_longest_is_used() {
-        let (mut pool, _listener) = pool(limits());
-        pool.dispatch(0, sends(1, 3));
-        for (now, id, wire) in [(10, 1, "q1.2"), (20, 0, "q1.1"), (30, 0, "q1.0")] {
-            pool.hear(now, id, answer(wire));
-        }
-        pool.dispatch(40, sends(2, 1));
-        assert_eq!(pool.conns[&1].out.len(), 1);
-    }
-
-    /// The end of a connection that had come up is no news of whether its server can be reached.
-    #[test]
-    fn what_waits_behind_a_connection_that_was_up_is_not_sent() {
-        let (mut pool, _listener) = pool(PoolLimits { sockets: 1, ..limits() });
-        pool.dispatch(0, sends(1, 1));
-        let (executor, line) = (pool.executor.clone(), pool.conns[&0].line.clone());
-        let written = async {
-            while !line.unwritten().is_empty() {
-                yield_now().await;
-            }
-        };
-        async_io::block_on(executor.run(written));
-        pool.dispatch(10, sends(2, 1));
-        pool.hear(20, 0, broken());
-        assert_eq!(outcomes(&mut pool, 30), [Outcome::ConnectionLost, Outcome::NotSent]);
-    }
-
-    fn outcomes_of_spoilt(event: LineEvent, sent: usize) -> (Vec<Outcome>, usize) {
-        let (mut pool, _listener) = pool(PoolLimits { batch: 4, ..limits() });
-        pool.dispatch(0, sends(1, sent));
-        block_on(pool.conns[&0].line.next());
-        pool.conns[&0].line.written();
-        pool.hear(10, 0, event);
-        (outcomes(&mut pool, 20), pool.open())
-    }
-
-    /// An answer for what is not out stands in the place of one that will not come: it must not be waited for.
-    /// It is one failure of the server, whatever else was out on the connection, and none of a query's own.
-    #[test]
-    fn a_spoilt_answer_fails_one_attempt_and_closes_its_connection() {
-        for event in [answer("q7.0"), LineEvent::Bad(plover_frames::BadFrame("noise"))] {
-            let outcomes = outcomes_of_spoilt(event, 3);
-            assert_eq!(outcomes, (vec![Outcome::Error, Outcome::Cancelled, Outcome::Cancelled], 0));
-        }
-    }
-
-    /// A second copy or noise after a good answer fails nothing, but nobody can tell what else would come.
-    #[test]
-    fn surplus_after_a_good_answer_closes_the_connection_and_fails_nothing() {
-        for surplus in [answer("q1.0"), LineEvent::Begun, LineEvent::Bad(plover_frames::BadFrame("noise"))] {
-            let (mut pool, _listener) = pool(limits());
-            pool.dispatch(0, sends(1, 1));
-            pool.hear(10, 0, answer("q1.0"));
-            pool.hear(10, 0, surplus);
-            assert_eq!((outcomes(&mut pool, 20), pool.open()), (vec![Outcome::Served], 0));
-        }
-    }
-
-    /// The answer to what was given up may cross the giving up: it spoils nothing, but counts only once.
-    #[test]
-    fn a_late_answer_to_what_was_given_up_is_passed_over() {
-        let (mut pool, _listener) = pool(limits());
-        pool.dispatch(0, sends(1, 2));
-        block_on(pool.conns[&0].line.next());
-        pool.conns[&0].line.written();
-        pool.give_up(10, AttemptId { query: 1, part: 0, attempt: 0 });
-        pool.hear(20, 0, answer("q1.0"));
-        assert_eq!((outcomes(&mut pool, 20), pool.open()), (vec![Outcome::Cancelled], 1));
-        pool.hear(30, 0, answer("q1.0"));
-        assert_eq!((outcomes(&mut pool, 30), pool.open()), (vec![Outcome::Error], 0));
-    }
-
-    /// A length that does not fit promises bytes that never come: the attempt must not wait for its whole time.
-    #[test]
-    fn a_frame_that_does_not_go_on_is_spoilt() {
-        let (mut pool, _listener) = pool(limits());
-        pool.dispatch(0, sends(1, 1));
-        block_on(pool.conns[&0].line.next());
-        pool.conns[&0].line.written();
-        pool.hear(10, 0, LineEvent::Begun);
-        assert_eq!(pool.due(), 10 + limits().dial_timeout);
-        pool.sweep(9 + limits().dial_timeout);
-        assert_eq!(pool.open(), 1);
-        pool.sweep(10 + limits().dial_timeout);
-        assert_eq!((outcomes(&mut pool, SECOND / 2), pool.open()), (vec![Outcome::Error], 0));
-    }
-
-    /// Every dispatched attempt ends, also where no descriptor is left for it.
-    #[test]
-    fn with_no_descriptor_left_an_idle_connection_makes_room_or_the_attempt_ends() {
-        let (mut pool, listener) = pool(PoolLimits { sockets: 1, ..limits() });
-        pool.dispatch(0, sends(1, 1));
-        let other = NodeId("s1".into());
-        pool.learn(0, other.clone(), Some(listener.local_addr().unwrap()));
-        let to_other =
-            |query| sends(query, 1).into_iter().map(|s| Send { server: other.clone(), ..s }).collect();
-        pool.dispatch(0, to_other(2));
-        assert_eq!(outcomes(&mut pool, 30), [Outcome::NoConnection]);
-        pool.hear(10, 0, answer("q1.0"));
-        pool.dispatch(20, to_other(3));
-        assert_eq!((outcomes(&mut pool, 30), pool.open()), (vec![Outcome::Served], 1));
-    }
-
-    /// A part that crosses the server's closing of an idle connection would end as a reset.
-    #[test]
-    fn idle_connections_are_closed_before_the_server_does() {
-        let (mut pool, _listener) = pool(limits());
-        pool.dispatch(0, sends(1, 1));
-        pool.hear(100, 0, answer("q1.0"));
-        pool.sweep(11 * SECOND);
-        assert_eq!(pool.open(), 1);
-        pool.sweep(12 * SECOND);
-        assert_eq!(pool.open(), 0);
-    }
-
-    /// Within the drain's grace nothing may go out, not even what waited for a connection when it began.
-    #[test]
-    fn what_waits_for_a_server_that_leaves_is_taken_back() {
-        let (mut pool, _listener) = pool(limits());
-        pool.dispatch(0, sends(1, 2));
-        pool.learn(10, server(), None);
-        assert_eq!(outcomes(&mut pool, 30), [Outcome::NotSent; 2]);
-        pool.dispatch(20, sends(2, 1));
-        assert_eq!(outcomes(&mut pool, 30), [Outcome::NoConnection]);
-        pool.sweep(20);
-        assert_eq!((pool.open(), pool.servers.len()), (0, 0));
-    }
-
-    /// What was not written to its last byte never ran; what was may have, or may yet.
-    #[test]
-    fn the_end_of_an_attempt_tells_whether_it_may_have_run() {
-        let (mut pool, _listener) = pool(limits());
-        pool.dispatch(0, sends(1, 1));
-        assert_eq!(outcomes(&mut pool, SECOND), [Outcome::NoConnection]);
-        pool.dispatch(0, sends(2, 2));
-        let line = pool.conns[&0].line.clone();
-        block_on(line.next());
-        pool.hear(20, 0, broken());
-        assert_eq!(outcomes(&mut pool, 30), [Outcome::NoConnection; 2]);
-        pool.dispatch(30, sends(3, 1));
-        let (executor, inbox) = (pool.executor.clone(), pool.inbox.clone());
-        let line = pool.conns[&1].line.clone();
-        let written = async {
-            while !line.unwritten().is_empty() {
-                yield_now().await;
-            }
-        };
-        async_io::block_on(executor.run(written));
-        assert!(!inbox.take().iter().any(|i| matches!(i, Input::Line(1, LineEvent::Down(_)))));
-        pool.hear(40, 1, broken());
-        assert_eq!(outcomes(&mut pool, 30), [Outcome::ConnectionLost]);
-    }
-
-    /// Over a cut link connections stay open and silent; one that has spoken is kept.
-    #[test]
-    fn a_connection_that_stays_silent_is_closed_with_the_attempt_that_waited_in_vain() {
-        for spoke in [false, true] {
-            let (mut pool, _listener) = pool(limits());
-            pool.dispatch(0, sends(1, 2));
-            block_on(pool.conns[&0].line.next());
-            pool.conns[&0].line.written();
-            if spoke {
-                pool.hear(100, 0, answer("q1.1"));
-            }
-            let outcomes = outcomes(&mut pool, SECOND);
-            pool.sweep(SECOND);
-            assert_eq!(outcomes.last(), Some(&Outcome::TimedOut));
-            assert_eq!(pool.open(), usize::from(spoke));
-        }
-    }
-
-    /// A further attempt at a part must not go out while a stuck socket holds back the giving up of the first.
-    #[test]
-    fn a_connection_that_is_stuck_in_a_frame_ends_with_the_first_attempt_given_up() {
-        let (mut pool, _listener) = pool(limits());
-        pool.dispatch(0, sends(1, 2));
-        block_on(pool.conns[&0].line.next());
-        pool.give_up(SECOND / 2, AttemptId { query: 1, part: 0, attempt: 0 });
-        assert_eq!(outcomes(&mut pool, SECOND / 2), [Outcome::Cancelled, Outcome::NoConnection]);
-        assert_eq!(pool.open(), 0);
-    }
-}
+mod tests;
--- /dev/null
+++ b/crates/broker/src/upstream/tests.rs
@@ -0,0 +1,307 @@
+use super::*;
+use crate::inbox::Input;
+use futures_lite::future::{block_on, yield_now};
+use std::net::TcpListener;
+
+const SECOND: Micros = 1_000_000;
+
+fn pool(limits: PoolLimits) -> (Upstream, TcpListener) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut pool = Upstream::new(Rc::default(), Rc::default(), limits);
+    pool.learn(0, server(), Some(listener.local_addr().unwrap()));
+    (pool, listener)
+}
+
+fn limits() -> PoolLimits {
+    let (dial_timeout, keepalive) = (SECOND / 4, 15 * SECOND);
+    PoolLimits { sockets: 10, batch: 2, multiplex: 4, dial_timeout, keepalive }
+}
+
+fn server() -> NodeId {
+    NodeId("s0".into())
+}
+
+fn sends(query: u64, parts: usize) -> Vec<Send> {
+    let send = |part| Send {
+        attempt: AttemptId { query, part, attempt: 0 },
+        server: server(),
+        until: SECOND,
+        wire: format!("q{query}.{part}"),
+        shard: part,
+        key: None,
+        text: "c41e77d0".into(),
+    };
+    (0..parts).map(send).collect()
+}
+
+fn outcomes(pool: &mut Upstream, now: Micros) -> Vec<Outcome> {
+    pool.take_ended(now).iter().map(|e| e.outcome).collect()
+}
+
+fn broken() -> LineEvent {
+    LineEvent::Down(std::io::ErrorKind::ConnectionReset.into())
+}
+
+fn answer(wire: &str) -> LineEvent {
+    let (id, outcome, held) = (wire.to_owned(), Outcome::Served, Some(1.0));
+    LineEvent::Frame(FromServer::Answer { id, outcome, held, value: "v".to_owned() })
+}
+
+#[test]
+fn calls_are_spread_over_a_few_connections_and_an_idle_one_is_used_again() {
+    let (mut pool, _listener) = pool(limits());
+    pool.dispatch(0, sends(1, 3));
+    assert_eq!(pool.open(), 2);
+    pool.hear(10, 1, answer("q1.2"));
+    pool.dispatch(20, sends(2, 1));
+    assert_eq!((pool.open(), pool.conns[&1].out.len()), (2, 1));
+    (3..20).for_each(|query| pool.dispatch(30, sends(query, 1)));
+    assert_eq!(pool.conns.values().map(|c| c.out.len()).collect::<Vec<_>>(), [4; 5]);
+}
+
+/// A server may close a connection right after its answer: the one that rested longest is the safest.
+#[test]
+fn of_idle_connections_the_one_that_rested_longest_is_used() {
+    let (mut pool, _listener) = pool(limits());
+    pool.dispatch(0, sends(1, 3));
+    for (now, id, wire) in [(10, 1, "q1.2"), (20, 0, "q1.1"), (30, 0, "q1.0")] {
+        pool.hear(now, id, answer(wire));
+    }
+    pool.dispatch(40, sends(2, 1));
+    assert_eq!(pool.conns[&1].out.len(), 1);
+}
+
+/// The end of a connection that had come up is no news of whether its server can be reached.
+#[test]
+fn what_waits_behind_a_connection_that_was_up_is_not_sent() {
+    let (mut pool, _listener) = pool(PoolLimits { sockets: 1, ..limits() });
+    pool.dispatch(0, sends(1, 1));
+    let (executor, line) = (pool.executor.clone(), pool.conns[&0].line.clone());
+    let written = async {
+        while !line.unwritten().is_empty() {
+            yield_now().await;
+        }
+    };
+    async_io::block_on(executor.run(written));
+    pool.dispatch(10, sends(2, 1));
+    pool.hear(20, 0, broken());
+    assert_eq!(outcomes(&mut pool, 30), [Outcome::ConnectionLost, Outcome::NotSent]);
+}
+
+fn outcomes_of_spoilt(event: LineEvent, sent: usize) -> (Vec<Outcome>, usize) {
+    let (mut pool, _listener) = pool(PoolLimits { batch: 4, ..limits() });
+    pool.dispatch(0, sends(1, sent));
+    block_on(pool.conns[&0].line.next());
+    pool.conns[&0].line.written();
+    pool.hear(10, 0, event);
+    (outcomes(&mut pool, 20), pool.open())
+}
+
+/// An answer for what is not out stands in the place of one that will not come: it must not be waited for.
+/// It is one failure of the server, whatever else was out on the connection, and none of a query's own.
+#[test]
+fn a_spoilt_answer_fails_one_attempt_and_closes_its_connection() {
+    for event in [answer("q7.0"), LineEvent::Bad(plover_frames::BadFrame("noise"))] {
+        let outcomes = outcomes_of_spoilt(event, 3);
+        assert_eq!(outcomes, (vec![Outcome::Error, Outcome::Cancelled, Outcome::Cancelled], 0));
+    }
+}
+
+/// A second copy or noise after a good answer fails nothing, but nobody can tell what else would come.
+#[test]
+fn surplus_after_a_good_answer_closes_the_connection_and_fails_nothing() {
+    for surplus in [answer("q1.0"), LineEvent::Begun, LineEvent::Bad(plover_frames::BadFrame("noise"))] {
+        let (mut pool, _listener) = pool(limits());
+        pool.dispatch(0, sends(1, 1));
+        pool.hear(10, 0, answer("q1.0"));
+        pool.hear(10, 0, surplus);
+        assert_eq!((outcomes(&mut pool, 20), pool.open()), (vec![Outcome::Served], 0));
+    }
+}
+
+/// The answer to what was given up may cross the giving up: it spoils nothing, but counts only once.
+#[test]
+fn a_late_answer_to_what_was_given_up_is_passed_over() {
+    let (mut pool, _listener) = pool(limits());
+    pool.dispatch(0, sends(1, 2));
+    block_on(pool.conns[&0].line.next());
+    pool.conns[&0].line.written();
+    pool.give_up(10, AttemptId { query: 1, part: 0, attempt: 0 });
+    pool.hear(20, 0, answer("q1.0"));
+    assert_eq!((outcomes(&mut pool, 20), pool.open()), (vec![Outcome::Cancelled], 1));
+    pool.hear(30, 0, answer("q1.0"));
+    assert_eq!((outcomes(&mut pool, 30), pool.open()), (vec![Outcome::Error], 0));
+}
+
+/// A length that does not fit promises bytes that never come: the attempt must not wait for its whole time.
+#[test]
+fn a_frame_that_does_not_go_on_is_spoilt() {
+    let (mut pool, _listener) = pool(limits());
+    pool.dispatch(0, sends(1, 1));
+    block_on(pool.conns[&0].line.next());
+    pool.conns[&0].line.written();
+    pool.hear(10, 0, LineEvent::Begun);
+    assert_eq!(pool.due(), 10 + limits().dial_timeout);
+    pool.sweep(9 + limits().dial_timeout);
+    assert_eq!(pool.open(), 1);
+    pool.sweep(10 + limits().dial_timeout);
+    assert_eq!((outcomes(&mut pool, SECOND / 2), pool.open()), (vec![Outcome::Error], 0));
+}
+
+/// Every dispatched attempt ends, also where no descriptor is left for it.
+#[test]
+fn with_no_descriptor_left_an_idle_connection_makes_room_or_the_attempt_ends() {
+    let (mut pool, listener) = pool(PoolLimits { sockets: 1, ..limits() });
+    pool.dispatch(0, sends(1, 1));
+    let other = NodeId("s1".into());
+    pool.learn(0, other.clone(), Some(listener.local_addr().unwrap()));
+    let to_other = |query| sends(query, 1).into_iter().map(|s| Send { server: other.clone(), ..s }).collect();
+    pool.dispatch(0, to_other(2));
+    assert_eq!(outcomes(&mut pool, 30), [Outcome::NoConnection]);
+    pool.hear(10, 0, answer("q1.0"));
+    pool.dispatch(20, to_other(3));
+    assert_eq!((outcomes(&mut pool, 30), pool.open()), (vec![Outcome::Served], 1));
+}
+
+/// A part that crosses the server's closing of an idle connection would end as a reset.
+#[test]
+fn idle_connections_are_closed_before_the_server_does() {
+    let (mut pool, _listener) = pool(limits());
+    pool.dispatch(0, sends(1, 1));
+    pool.hear(100, 0, answer("q1.0"));
+    pool.sweep(11 * SECOND);
+    assert_eq!(pool.open(), 1);
+    pool.sweep(12 * SECOND);
+    assert_eq!(pool.open(), 0);
+}
+
+/// Within the drain's grace nothing may go out, not even what waited for a connection when it began.
+#[test]
+fn what_waits_for_a_server_that_leaves_is_taken_back() {
+    let (mut pool, _listener) = pool(limits());
+    pool.dispatch(0, sends(1, 2));
+    pool.learn(10, server(), None);
+    assert_eq!(outcomes(&mut pool, 30), [Outcome::NotSent; 2]);
+    pool.dispatch(20, sends(2, 1));
+    assert_eq!(outcomes(&mut pool, 30), [Outcome::NoConnection]);
+    pool.sweep(20);
+    assert_eq!((pool.open(), pool.servers.len()), (0, 0));
+}
+
+/// What was not written to its last byte never ran; what was may have, or may yet.
+#[test]
+fn the_end_of_an_attempt_tells_whether_it_may_have_run() {
+    let (mut pool, _listener) = pool(limits());
+    pool.dispatch(0, sends(1, 1));
+    assert_eq!(outcomes(&mut pool, SECOND), [Outcome::NoConnection]);
+    pool.dispatch(0, sends(2, 2));
+    let line = pool.conns[&0].line.clone();
+    block_on(line.next());
+    pool.hear(20, 0, broken());
+    assert_eq!(outcomes(&mut pool, 30), [Outcome::NoConnection; 2]);
+    pool.dispatch(30, sends(3, 1));
+    let (executor, inbox) = (pool.executor.clone(), pool.inbox.clone());
+    let line = pool.conns[&1].line.clone();
+    let written = async {
+        while !line.unwritten().is_empty() {
+            yield_now().await;
+        }
+    };
+    async_io::block_on(executor.run(written));
+    assert!(!inbox.take().iter().any(|i| matches!(i, Input::Line(1, LineEvent::Down(_)))));
+    pool.hear(40, 1, broken());
+    assert_eq!(outcomes(&mut pool, 30), [Outcome::ConnectionLost]);
+}
+
+/// Over a cut link connections stay open and silent; one that has spoken is kept.
+#[test]
+fn a_connection_that_stays_silent_is_closed_with_the_attempt_that_waited_in_vain() {
+    for spoke in [false, true] {
+        let (mut pool, _listener) = pool(limits());
+        pool.dispatch(0, sends(1, 2));
+        block_on(pool.conns[&0].line.next());
+        pool.conns[&0].line.written();
+        if spoke {
+            pool.hear(100, 0, answer("q1.1"));
+        }
+        let outcomes = outcomes(&mut pool, SECOND);
+        pool.sweep(SECOND);
+        assert_eq!(outcomes.last(), Some(&Outcome::TimedOut));
+        assert_eq!(pool.open(), usize::from(spoke));
+    }
+}
+
+/// A further attempt at a part must not go out while a stuck socket holds back the giving up of the first.
+#[test]
+fn a_connection_that_is_stuck_in_a_frame_ends_with_the_first_attempt_given_up() {
+    let (mut pool, _listener) = pool(limits());
+    pool.dispatch(0, sends(1, 2));
+    block_on(pool.conns[&0].line.next());
+    pool.give_up(SECOND / 2, AttemptId { query: 1, part: 0, attempt: 0 });
+    assert_eq!(outcomes(&mut pool, SECOND / 2), [Outcome::Cancelled, Outcome::NoConnection]);
+    assert_eq!(pool.open(), 0);
+}
+
+/// Has the connection's task write what waits there.
+fn write_out(pool: &mut Upstream, id: u64) {
+    let line = pool.conns[&id].line.clone();
+    while !line.unwritten().is_empty() {
+        block_on(line.next());
+        line.written();
+    }
+}
+
+/// One connection of a server falls silent while the others go on: what is sent on it is lost until that shows, and its
+/// emptiness made it the first choice for the next.
+#[test]
+fn a_silent_connection_beside_ones_that_answer_gets_nothing_new() {
+    let (mut pool, _listener) = pool(PoolLimits { batch: 1, ..limits() });
+    pool.dispatch(0, sends(1, 1));
+    pool.dispatch(10, sends(2, 1));
+    (0..2).for_each(|id| write_out(&mut pool, id));
+    pool.hear(30_000, 1, answer("q2.0"));
+    pool.dispatch(30_000, sends(3, 3));
+    (1..4).for_each(|id| write_out(&mut pool, id));
+    for (id, part) in [(1, 0), (2, 1), (3, 2)] {
+        pool.hear(60_000, id, answer(&format!("q3.{part}")));
+    }
+    // Not late yet by four times what answers take.
+    assert!(!pool.is_suspect(60_000, &pool.servers[&server()], &pool.conns[&0]));
+    let late = 4 * pool.servers[&server()].usual;
+    assert!(pool.is_suspect(late, &pool.servers[&server()], &pool.conns[&0]));
+    pool.give_up(late, AttemptId { query: 1, part: 0, attempt: 0 });
+    pool.sweep(late);
+    assert_eq!(
+        pool.conns.keys().copied().collect::<Vec<_>>(),
+        [1, 2, 3],
+        "it is closed once nothing is out on it"
+    );
+}
+
+/// A server that is slow on all of its connections is no reason to dial anew.
+#[test]
+fn a_server_that_answers_nothing_keeps_its_connections() {
+    let (mut pool, _listener) = pool(PoolLimits { batch: 1, ..limits() });
+    pool.dispatch(0, sends(1, 2));
+    (0..2).for_each(|id| write_out(&mut pool, id));
+    pool.hear(30_000, 1, answer("q1.1"));
+    pool.dispatch(40_000, sends(2, 1));
+    write_out(&mut pool, 1);
+    let later = 400_000;
+    for (query, part) in [(1, 0), (2, 0)] {
+        pool.give_up(later, AttemptId { query, part, attempt: 0 });
+    }
+    pool.sweep(later);
+    assert_eq!(pool.open(), 2, "nothing later was answered");
+}
+
+/// Half an answer that does not go on: the next parts go elsewhere, long before it counts as spoilt.
+#[test]
+fn nothing_is_sent_behind_an_answer_that_has_stopped() {
+    let (mut pool, _listener) = pool(PoolLimits { batch: 1, ..limits() });
+    pool.dispatch(0, sends(1, 1));
+    write_out(&mut pool, 0);
+    pool.hear(10, 0, LineEvent::Begun);
+    (2..8).for_each(|query| pool.dispatch(10 + HALTED, sends(query, 1)));
+    assert_eq!(pool.conns[&0].out.len(), 1);
+}
