--- a/crates/broker/src/front/mod.rs
+++ b/crates/broker/src/front/mod.rs
@@ -109,6 +109,13 @@
             accept::accept_rest(&self.front, &listener, executor);
         }
     }
+
+    /// Accepts nothing further; what the system has accepted is left to whoever else holds the socket.
+    async fn leave(&mut self) {
+        if let Some((task, _)) = self.accepting.take() {
+            task.cancel().await;
+        }
+    }
 }
 
 /// The fronts, with their listeners.
@@ -119,12 +126,17 @@
     http2: Option<Listening<Http2>>,
     /// Where operators call; open to the end.
     _door: Option<Listening<Door>>,
+    /// Whether the socket of HTTP/1.1 clients is the platform's, and stays when this process has gone.
+    inherited: bool,
+    closed: bool,
 }
 
 /// Where a front listens, and what it may hold.
 pub struct Plan {
     /// Where clients with HTTP/1.1 connect.
     pub http1: Async<TcpListener>,
+    /// Whether that is a socket that the platform holds.
+    pub inherited: bool,
     /// Where operators call.
     pub door: Option<Async<TcpListener>>,
     /// Where those with HTTP/2 do.
@@ -143,7 +155,7 @@
         });
         let door = |listener| Listening::start(Door::new(shared.clone()), listener, &executor);
         let _door = plan.door.map(door);
-        Fronts { shared, executor, http1, http2, _door }
+        Fronts { shared, executor, http1, http2, _door, inherited: plan.inherited, closed: false }
     }
 
     /// Takes other limits, where that is possible while the program runs.
@@ -177,10 +189,14 @@
 
     /// Takes what the system has accepted, but no new connections from now on.
     pub async fn close(&mut self) {
-        if self.is_closing() {
+        if std::mem::replace(&mut self.closed, true) {
             return;
         }
-        self.http1.close(&self.executor).await;
+        match self.inherited {
+            // Whoever comes after us finds there what we do not take.
+            true => self.http1.leave().await,
+            false => self.http1.close(&self.executor).await,
+        }
         if let Some(http2) = &mut self.http2 {
             http2.close(&self.executor).await;
         }
@@ -188,9 +204,16 @@
         self.http1.front.close_idle();
     }
 
-    /// Whether new connections are no longer taken.
+    /// Another process accepts at the same socket: new connections are its own from now on.
+    pub async fn leave_to_next(&mut self) {
+        if self.inherited {
+            self.http1.leave().await;
+        }
+    }
+
+    /// Whether all that is to come has come.
     pub fn is_closing(&self) -> bool {
-        self.http1.accepting.is_none()
+        self.closed
     }
 
     /// Open connections.
--- a/crates/broker/src/front/seats.rs
+++ b/crates/broker/src/front/seats.rs
@@ -21,6 +21,8 @@
 /// than anybody could say a word, and pushed out those who connected in the same moment; behind this wait the burst
 /// stands in the system's queue instead.
 const FIRST_WORDS: Duration = Duration::from_millis(25);
+/// One that has connected so shortly before idle connections are closed is left to speak.
+const JUST_COME: Duration = Duration::from_millis(225);
 /// Longest wait for room: then a new client is told that there is none, and can try another broker.
 const ROOM_TIME: Duration = Duration::from_millis(250);
 
@@ -167,9 +169,15 @@
         spare.remove(&key).is_some()
     }
 
-    /// Closes all that are idle; those in the middle of a request go on.
+    /// Closes all that are idle; those in the middle of a request go on, and those that have just come.
     pub(super) fn close_idle(&self) {
-        self.spare.borrow_mut().retain(|(rank, _), _| *rank == Rank::Beginning);
+        let now = Instant::now();
+        self.spare.borrow_mut().retain(|(rank, _), leaver| match rank {
+            Rank::Beginning => true,
+            // Its request is on its way: closed on, its client would have connected for nothing.
+            Rank::Fresh | Rank::Greeted => now < leaver.from + JUST_COME,
+            Rank::Served => false,
+        });
     }
 
     /// How long a connection that has served may be idle.
--- a/crates/broker/src/neighbours.rs
+++ b/crates/broker/src/neighbours.rs
@@ -79,6 +79,7 @@
         directory: &Path,
         name: &str,
         clock: Clock,
+        quarantine: Micros,
         executor: Rc<LocalExecutor<'static>>,
         inbox: Rc<Inbox>,
     ) -> Self {
@@ -97,7 +98,7 @@
             wires: BTreeMap::new(),
             estranged: BTreeMap::new(),
             next: 0,
-            known: Neighbours::new(me, Times::default()),
+            known: Neighbours::new(me, Times { quarantine, ..Times::default() }),
             told: Vec::new(),
         };
         match Async::<UnixListener>::bind(&own) {
@@ -137,7 +138,8 @@
         };
         let id = self.next;
         self.next += 1;
-        if !self.known.connected(now, id) {
+        let pid = peer.pid.as_raw_nonzero().get() as u32;
+        if !self.known.connected(now, id, pid) {
             return warn!(name: "hand_over_failed", what = "there are too many neighbours");
         }
         let stream = Rc::new(stream);
@@ -163,6 +165,7 @@
 
     /// Takes all that neighbours have said by now.
     pub(crate) fn turn(&mut self, now: Micros) -> Vec<News> {
+        self.known.begin(now);
         let mut news = Vec::new();
         let mut came = Vec::new();
         if let Some((listener, watch)) = &self.listener {
--- a/crates/broker/src/queries.rs
+++ b/crates/broker/src/queries.rs
@@ -55,6 +55,12 @@
     (window.min().unwrap_or(NO_WINDOW), keep.unwrap_or(0))
 }
 
+/// For so long after an unknown process has gone may its keys come back: while data servers drop repeats, and clients ask.
+pub(crate) fn quarantine(settings: &Settings) -> Micros {
+    let (window, keep) = repeat_times(settings);
+    window + keep
+}
+
 /// What a reply is in the books; a request that cannot be used was never taken.
 fn end_of(reply: &Reply) -> Option<End> {
     match reply {
--- a/crates/broker/src/turns.rs
+++ b/crates/broker/src/turns.rs
@@ -4,7 +4,7 @@
 use crate::inbox::{Inbox, Input};
 use crate::neighbours::Sockets;
 use crate::operator::{Operator, platform};
-use crate::queries::{Beside, Held, Queries};
+use crate::queries::{Beside, Held, Queries, quarantine};
 use crate::upstream::{Ended, Send, Upstream};
 use async_channel::Sender;
 use async_executor::LocalExecutor;
@@ -135,13 +135,13 @@
         routes: operator.routes(&config.names.classes),
     };
     let shared = Shared::new(inbox.clone(), clock, terms);
-    let plan = Plan { http1: listener, http2, door, limits };
+    let plan = Plan { http1: listener, inherited: config.inherited.is_some(), http2, door, limits };
     let rev = config.known.rev;
     let tick = millis(config.settings.tick);
-    let beside = config
-        .hand_over
-        .as_ref()
-        .map(|directory| Sockets::start(directory, &config.name, clock, executor.clone(), inbox.clone()));
+    let beside = config.hand_over.as_ref().map(|directory| {
+        let quarantine = quarantine(&config.settings);
+        Sockets::start(directory, &config.name, clock, quarantine, executor.clone(), inbox.clone())
+    });
     let mut broker = Broker {
         clock,
         zones: config.names.zones.clone(),
@@ -195,6 +195,9 @@
         loop {
             let now = self.clock.now();
             self.turn(now);
+            if self.life.is_ending() && self.beside.as_ref().is_some_and(|s| s.known.has_newer()) {
+                self.fronts.leave_to_next().await;
+            }
             let effect = self.life.tick(now);
             self.go(effect);
             if self.life == Life::Gone {
--- a/crates/handover/src/neighbours.rs
+++ b/crates/handover/src/neighbours.rs
@@ -56,7 +56,7 @@
     Gone,
 }
 
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 enum State {
     /// Its greeting is awaited, since then.
     Greeting(Micros),
@@ -68,10 +68,12 @@
     Strange,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Link {
     state: State,
     reader: Reader,
+    /// Its process, as the system says.
+    pid: u32,
     peer: Option<Greeting>,
     /// What is not written yet, and since when something has been waiting.
     waiting: VecDeque<u8>,
@@ -81,7 +83,7 @@
 }
 
 /// All neighbours of a process.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Neighbours {
     me: Me,
     times: Times,
@@ -90,16 +92,33 @@
     estranged: Vec<u32>,
     /// Until when keys of unknown neighbours may come back.
     quarantine: Micros,
+    /// When the last turn began, and whether this one came so late after it that neighbours may have given us up.
+    turned: Micros,
+    stood: bool,
 }
 
 impl Neighbours {
     /// None yet.
     pub fn new(me: Me, times: Times) -> Self {
-        Neighbours { me, times, links: BTreeMap::new(), estranged: Vec::new(), quarantine: 0 }
+        Neighbours {
+            me,
+            times,
+            links: BTreeMap::new(),
+            estranged: Vec::new(),
+            quarantine: 0,
+            turned: 0,
+            stood: false,
+        }
+    }
+
+    /// A turn begins: before anything is read.
+    pub fn begin(&mut self, now: Micros) {
+        self.stood = !self.links.is_empty() && now.saturating_sub(self.turned) >= self.times.stall;
+        self.turned = now;
     }
 
-    /// A connection to a neighbour is up. False: there are too many, and it is to be closed.
-    pub fn connected(&mut self, now: Micros, id: LinkId) -> bool {
+    /// A connection to a neighbour, the process of this number, is up. False: there are too many, and it is to be closed.
+    pub fn connected(&mut self, now: Micros, id: LinkId, pid: u32) -> bool {
         if self.links.len() >= MOST_LINKS {
             return false;
         }
@@ -107,6 +126,7 @@
         let link = Link {
             state: State::Greeting(now),
             reader: Reader::default(),
+            pid,
             peer: None,
             waiting,
             waiting_since: now,
@@ -206,14 +226,14 @@
         let Some(link) = self.links.remove(&id) else { return Vec::new() };
         let newer = link.peer.as_ref().is_some_and(|p| !is_older(p, &self.me));
         let unknown = match link.state {
-            State::Joined => false,
+            // One that gave us up, as we stood still, has sent what it could not tell.
+            State::Joined => self.stood,
             // One that has come after us sends nothing before it has said so.
             State::Telling(_) => !newer,
             State::Greeting(_) | State::Strange => true,
         };
-        let pid = link.peer.as_ref().map(|p| p.pid).filter(|_| alive);
-        if let Some(pid) = pid {
-            self.estranged.push(pid);
+        if alive {
+            self.estranged.push(link.pid);
             // The newer one knows all that the older one sent, since that holds back from now on. The older one cannot
             // know what the newer one goes on to send.
             if unknown || newer {
@@ -262,7 +282,9 @@
             State::Joined if !l.waiting.is_empty() => Some(l.waiting_since + self.times.stall),
             _ => None,
         };
-        self.links.values().filter_map(due).min()
+        // A neighbour must not think that we stand still, only because there is nothing to do.
+        let turn = (!self.links.is_empty()).then_some(self.turned + self.times.stall / 4);
+        self.links.values().filter_map(due).chain(turn).min()
     }
 
     /// Whether a part of a keyed class may be sent now.
@@ -285,6 +307,12 @@
         1 + self.links.len() as u32 + self.estranged.len() as u32
     }
 
+    /// Whether a process that came after us is one broker with us, and so serves.
+    pub fn has_newer(&self) -> bool {
+        let newer = |l: &Link| l.peer.as_ref().is_some_and(|p| !is_older(p, &self.me));
+        self.links.values().any(|l| l.state == State::Joined && newer(l))
+    }
+
     /// Whether a neighbour has a request of this id in hand.
     pub fn has(&self, request: &str) -> bool {
         self.links.values().any(|l| l.open.contains_key(request))
@@ -340,7 +368,7 @@
 
     fn joined() -> (Neighbours, Neighbours) {
         let (mut old, mut new) = (side(1), side(2));
-        assert!(old.connected(10, 1) && new.connected(10, 1));
+        assert!(old.connected(10, 1, 2) && new.connected(10, 1, 2));
         assert!(carry(10, &mut old, &mut new).is_empty() && carry(10, &mut new, &mut old).is_empty());
         for side in [&mut old, &mut new] {
             assert!(side.is_owed(1));
@@ -391,7 +419,7 @@
     fn what_is_not_understood_counts_against_us() {
         let other = |bytes: Option<&[u8]>| {
             let mut side = side(1);
-            side.connected(0, 1);
+            side.connected(0, 1, 2);
             if let Some(bytes) = bytes {
                 assert!(side.received(1, 1, bytes).1.is_some());
             }
@@ -419,7 +447,7 @@
         let (mut old, _) = joined();
         old.tell(100, 1, &Word::Closed { id: "q".into() });
         let stall = Times::default().stall;
-        assert_eq!((old.due(), old.tick(99 + stall)), (Some(100 + stall), vec![]));
+        assert!(old.tick(99 + stall).is_empty());
         assert_eq!(old.tick(100 + stall), [1]);
         // And nothing is let pile up: what does not fit was not told.
         let (mut old, _) = joined();
@@ -433,7 +461,7 @@
     #[test]
     fn a_new_one_that_dies_at_once_leaves_nothing_behind() {
         let (mut old, mut new) = (side(1), side(2));
-        assert!(old.connected(10, 1) && new.connected(10, 1));
+        assert!(old.connected(10, 1, 2) && new.connected(10, 1, 2));
         carry(10, &mut new, &mut old);
         old.lost(20, 1, false);
         assert_eq!((old.keyed(20), old.copies()), (Keyed::May, 1));
@@ -449,7 +477,7 @@
     #[test]
     fn a_third_process_is_heard_and_a_crowd_is_not() {
         let mut side = side(1);
-        assert!((0..MOST_LINKS as u64).all(|id| side.connected(0, id)));
-        assert!(!side.connected(0, 99));
+        assert!((0..MOST_LINKS as u64).all(|id| side.connected(0, id, 2)));
+        assert!(!side.connected(0, 99, 2));
     }
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -15,7 +15,7 @@
 pub use deployment::Deployment;
 pub use fleet::{Fleet, Plan, ServerHandle};
 pub use list::{Entry, List};
-pub use program::Program;
+pub use program::{Inherit, Program};
 pub use server::Fault;
 
 /// The value that data servers give for a part: whoever holds the shard, the same.
--- a/crates/standins/src/program.rs
+++ b/crates/standins/src/program.rs
@@ -4,7 +4,8 @@
 use serde_json::Value;
 use std::collections::VecDeque;
 use std::io::{self, BufRead, BufReader};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
+use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -24,41 +25,82 @@
     pub http1: SocketAddr,
     /// Where it listens for HTTP/2, if it does.
     pub http2: Option<SocketAddr>,
+    /// Where operators call, if anywhere.
+    pub ops: Option<SocketAddr>,
+}
+
+/// What a platform hands to the processes of one broker: the clients' listening socket, as descriptor 3, and a directory.
+#[derive(Clone, Copy)]
+pub struct Inherit<'a> {
+    /// The socket.
+    pub listener: &'a TcpListener,
+    /// The directory.
+    pub directory: &'a Path,
 }
 
 impl Program {
     /// Starts a broker from its executable, with an operator's file of this text, and waits until it listens.
     pub fn start(exe: &Path, deployment: Deployment, fleet: &Fleet, operator: &str) -> io::Result<Program> {
-        let configuration = deployment.configuration(fleet, "127.0.0.1:0");
-        let mut program = Program::spawn(exe, &["serve"], &configuration, operator)?;
+        Program::serve(exe, &deployment.configuration(fleet, "127.0.0.1:0"), operator, None)
+    }
+
+    /// The same with a whole configuration, and with what a platform hands in.
+    pub fn serve(
+        exe: &Path,
+        configuration: &Value,
+        operator: &str,
+        inherit: Option<Inherit<'_>>,
+    ) -> io::Result<Program> {
+        let mut program = Program::spawn(exe, &["serve"], configuration, operator, inherit)?;
         program.http1 = program.address("event=started ")?;
         if operator.contains("listen-http2") {
             program.http2 = Some(program.address("event=started_http2 ")?);
         }
+        if configuration.get("ops").is_some() {
+            program.ops = Some(program.address("event=started_ops ")?);
+        }
         Ok(program)
     }
 
     /// Starts a control service, likewise; where it listens is told.
     pub fn control(exe: &Path, configuration: &Value, operator: &str) -> io::Result<(Program, SocketAddr)> {
-        let mut program = Program::spawn(exe, &["control"], configuration, operator)?;
+        let mut program = Program::spawn(exe, &["control"], configuration, operator, None)?;
         let listen = program.address("event=started_control ")?;
         Ok((program, listen))
     }
 
-    fn spawn(exe: &Path, command: &[&str], configuration: &Value, operator: &str) -> io::Result<Program> {
+    fn spawn(
+        exe: &Path,
+        arguments: &[&str],
+        configuration: &Value,
+        operator: &str,
+        inherit: Option<Inherit<'_>>,
+    ) -> io::Result<Program> {
         static NEXT: AtomicU64 = AtomicU64::new(0);
         let number = NEXT.fetch_add(1, Ordering::Relaxed);
         let files = std::env::temp_dir().join(format!("ploverport-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&files)?;
         std::fs::write(files.join("config.json"), configuration.to_string())?;
         std::fs::write(files.join("ploverport.conf"), operator)?;
-        let mut child = Command::new(exe)
-            .args(command)
+        let mut command = match inherit {
+            None => Command::new(exe),
+            Some(Inherit { listener, directory }) => {
+                // A child's descriptors beyond the first three are the shell's to give.
+                let mut shell = Command::new("sh");
+                shell.args(["-c", "exec \"$0\" \"$@\" 3<&0 </dev/null"]).arg(exe);
+                shell.stdin(Stdio::from(OwnedFd::from(listener.try_clone()?)));
+                shell.env("RELAY_FD", "3").env("TMPDIR", directory);
+                shell
+            }
+        };
+        let mut child = command
+            .args(arguments)
             .arg("--config")
             .arg(files.join("ploverport.conf"))
             .env("RELAY_CONFIG", files.join("config.json"))
             .env_remove("RELAY_LISTEN")
             .env_remove("RELAY_DISCOVERY")
+            .env_remove("RELAY_OPS")
             .stdout(Stdio::null())
             .stderr(Stdio::piped())
             .spawn()?;
@@ -73,7 +115,7 @@
             });
         }
         let nowhere = SocketAddr::from(([0, 0, 0, 0], 0));
-        Ok(Program { child, log, seen: VecDeque::new(), files, http1: nowhere, http2: None })
+        Ok(Program { child, log, seen: VecDeque::new(), files, http1: nowhere, http2: None, ops: None })
     }
 
     fn address(&mut self, event: &str) -> io::Result<SocketAddr> {
@@ -148,6 +190,11 @@
         Ok(Duration::from_millis(10 * (ticks(14) + ticks(15))))
     }
 
+    /// Its number.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Its resident memory, in bytes.
     pub fn memory(&self) -> io::Result<u64> {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
