--- a/crates/broker/src/turns.rs
+++ b/crates/broker/src/turns.rs
@@ -109,11 +109,12 @@
     let limits = limits(config.clients, &operator)?;
     let listener = match config.inherited {
         Some(fd) => net::inherit(fd, config.listen)?,
-        None => net::listen(config.listen)?,
+        None => net::listen(config.listen, false)?,
     };
     let listen = listener.get_ref().local_addr()?;
-    let http2 = operator.settings().http2.map(|h| net::listen(h.listen)).transpose()?;
-    let door = config.ops.map(net::listen).transpose()?;
+    let http2 =
+        operator.settings().http2.map(|h| net::listen(h.listen, config.inherited.is_some())).transpose()?;
+    let door = config.ops.map(|at| net::listen(at, false)).transpose()?;
     let ops = door.as_ref().map(|l| l.get_ref().local_addr()).transpose()?;
     let listen_http2 = http2.as_ref().map(|l| l.get_ref().local_addr()).transpose()?;
     let (on_signal, on_list) = (inbox.clone(), inbox.clone());
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -337,6 +337,79 @@
         assert_eq!(seats(&config), 153);
     }
 
+    /// A file that was cut anywhere, as by a disk that ran full: none of it is taken, wherever the cut falls.
+    #[test]
+    fn a_file_cut_at_any_byte_is_turned_down() {
+        let whole = config().to_string();
+        let in_force = check(&config(), |_| None).unwrap().in_force;
+        let file = std::env::temp_dir().join(format!("ploverport-config-{}.json", std::process::id()));
+        let env = |key: &str| (key == "RELAY_CONFIG").then(|| file.display().to_string());
+        for cut in 0..whole.len() {
+            std::fs::write(&file, &whole[..cut]).unwrap();
+            assert!(reread(&in_force, env).is_err(), "cut at {cut}");
+        }
+        std::fs::write(&file, &whole).unwrap();
+        assert!(reread(&in_force, env).is_ok());
+        std::fs::remove_file(file).unwrap();
+    }
+
+    /// Whatever key is gone that the file in force has, also one that has a default at a start.
+    #[test]
+    fn a_file_that_lacks_any_key_is_turned_down() {
+        let in_force = check(&config(), |_| None).unwrap().in_force;
+        let mut keys = 0;
+        let file = std::env::temp_dir().join(format!("ploverport-keys-{}.json", std::process::id()));
+        let env = |key: &str| (key == "RELAY_CONFIG").then(|| file.display().to_string());
+        for parent in [
+            "",
+            "/limits",
+            "/settings",
+            "/settings/Allowed",
+            "/settings/Rules",
+            "/settings/FamilyInfo",
+            "/settings/Services/0",
+            "/settings/Projects/0",
+        ] {
+            let names: Vec<String> =
+                config().pointer(parent).unwrap().as_object().unwrap().keys().cloned().collect();
+            for name in names {
+                let mut broken = config();
+                broken.pointer_mut(parent).unwrap().as_object_mut().unwrap().remove(&name);
+                std::fs::write(&file, broken.to_string()).unwrap();
+                assert!(reread(&in_force, env).is_err(), "{parent}/{name}");
+                keys += 1;
+            }
+        }
+        assert!(keys > 50, "{keys}");
+        std::fs::remove_file(file).unwrap();
+    }
+
+    /// Figures that cannot be meant, of a wrong type, or names given twice.
+    #[test]
+    fn figures_that_cannot_be_meant_are_turned_down() {
+        for (pointer, values) in [
+            (
+                "/settings/Services/0/GiveUp",
+                vec![json!(0), json!(-1), json!(1e300), json!("1"), json!([]), json!(null)],
+            ),
+            ("/settings/Services/0/Aim", vec![json!(0), json!(1e12)]),
+            ("/settings/Services/1/MemorySpan", vec![json!(0), json!(-5)]),
+            ("/settings/Services/1/Name", vec![json!("lookup"), json!(""), json!(7)]),
+            ("/settings/Allowed/SendCap", vec![json!(0), json!(-1), json!(4_294_967_297_u64), json!(1.5)]),
+            ("/settings/Allowed/MaxOpen", vec![json!(0), json!(1e18)]),
+            ("/settings/Rules/FallMultiple", vec![json!(0), json!(-2)]),
+            ("/settings/FamilyInfo/MinShare", vec![json!([1.0, 1.0, 1.5]), json!([1.0, 1.0])]),
+        ] {
+            for value in values {
+                let mut config = config();
+                *config.pointer_mut(pointer).unwrap() = value.clone();
+                assert!(check(&config, |_| None).is_err(), "{pointer} = {value}");
+            }
+        }
+        // What no number of JSON's is, is no JSON.
+        assert!(serde_json::from_str::<Value>("{\"GiveUp\": NaN}").is_err());
+    }
+
     #[test]
     fn an_error_names_the_key() {
         for (pointer, value, name) in [
--- a/crates/ploverport/tests/operation/main.rs
+++ b/crates/ploverport/tests/operation/main.rs
@@ -5,4 +5,5 @@
 mod drain;
 mod rig;
 mod settings;
+mod soak;
 mod upgrade;
--- a/crates/runtime/src/net.rs
+++ b/crates/runtime/src/net.rs
@@ -24,10 +24,13 @@
 /// the queue tries again only a second later.
 const BACKLOG: i32 = 1024;
 
-/// Listens at an address.
-pub fn listen(address: SocketAddr) -> io::Result<Async<TcpListener>> {
+/// Listens at an address; `shared`: beside another process of this user that shares it too.
+pub fn listen(address: SocketAddr, shared: bool) -> io::Result<Async<TcpListener>> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
     socket.set_reuse_address(true)?;
+    if shared {
+        socket.set_reuse_port(true)?;
+    }
     socket.bind(&address.into())?;
     socket.listen(BACKLOG)?;
     Async::new(socket.into())
