--- a/crates/brookbend/src/retune.rs
+++ b/crates/brookbend/src/retune.rs
@@ -39,3 +39,45 @@
         self.fleet.make_rows(self.set.cells, self.set.reach);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::settings::{Message, decode};
+    use crate::view::Bulk;
+
+    fn settings() -> Settings {
+        let settings: serde_json::Value =
+            serde_json::from_str(include_str!("../../model/tests/settings.json")).unwrap();
+        decode(&Message::new("settings", settings.as_object().unwrap())).unwrap().settings
+    }
+
+    fn member(n: usize) -> Member {
+        let node = NodeId(format!("s{n}").into());
+        Member { node, cell: 0, state: NodeState::Serving, zone: None, started: (n == 2).then_some(900.0) }
+    }
+
+    /// Who is passed over, and who is cold, stays so; a class that changed goes on from what it learned, a new one from
+    /// nothing.
+    #[test]
+    fn what_is_known_of_servers_and_classes_stays() {
+        let mut aggregator = Aggregator::new(settings(), 7);
+        let members = (0..3).map(member).collect();
+        aggregator.on_batch(1000.0, vec![Event::List { kind: ListKind::Complete, members }]);
+        let errors = Bulk { node: member(1).node, served: 0, errors: 8, lost: 0, elapsed: None };
+        aggregator.report_bulk(1000.0, ClassIndex(0), &[errors]);
+        aggregator.learned[0].lag = 17.0;
+        let before = aggregator.views(1001.0);
+        let mut other = settings();
+        other.classes.extend([other.classes[0].clone(), other.classes[1].clone()]);
+        other.tenants.push(Tenant { quota_per_s: 1.0 });
+        let begun = |class, heir_of| Begun { class: ClassIndex(class), heir_of };
+        aggregator.retune(other, &[begun(3, Some(ClassIndex(0))), begun(4, None)]);
+        assert_eq!(aggregator.views(1001.0), before);
+        assert!(before[1].ejected_until.is_some() && before[2].cold_since.is_some());
+        assert_eq!([0, 3, 4].map(|c| aggregator.learned[c].lag), [17.0, 17.0, 0.0]);
+        assert!(aggregator.fleet.servers.iter().any(|s| s.of_class.contains_key(&3)));
+        assert!(aggregator.fleet.servers.iter().all(|s| !s.of_class.contains_key(&4)));
+        assert_eq!((aggregator.learned.len(), aggregator.tenant_taken.len()), (5, 2));
+    }
+}
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -276,4 +276,23 @@
             }
         }
     }
+
+    /// Two processes that are one broker let in together no more than one would.
+    #[test]
+    fn processes_share_tokens_and_what_is_in_hand() {
+        let limits = rate(1, 5);
+        let let_in = |copies: u32| {
+            let mut gate = Gate::new(1);
+            gate.set_copies(copies);
+            (0..9).filter(|_| gate.take(0, &limits, 0).is_ok()).count() as u32
+        };
+        assert_eq!(let_in(1), 5);
+        assert!((2..5).all(|copies| copies * let_in(copies) <= 5));
+        assert!(let_in(9) >= 1, "a burst of less than the processes lets one in all the same");
+        let mut gate = Gate::new(1);
+        assert!(gate.take_beside(0, &in_hand(2), 0, |_| 2).is_err());
+        let permit = gate.take_beside(0, &in_hand(2), 0, |_| 1).unwrap();
+        assert!(gate.take_beside(0, &in_hand(2), 0, |_| 1).is_err());
+        gate.give_back(permit);
+    }
 }
--- a/crates/repeats/src/lib.rs
+++ b/crates/repeats/src/lib.rs
@@ -98,7 +98,7 @@
 }
 
 /// The register.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Repeats {
     window: Micros,
     keep: Micros,
@@ -469,4 +469,68 @@
             }
         }
     }
+
+    /// What another process of the broker has in hand, or has sent, counts here as if it were our own.
+    #[test]
+    fn what_another_process_does_with_a_key_counts_here() {
+        let mut r = register();
+        r.hear(0, &key(1), Heard::Opened { until: 4 * SECOND });
+        assert_eq!(open(&mut r, 10, 1), Verdict::Busy(4 * SECOND));
+        r.hear(20, &key(1), Heard::Sent { shard: 0, at: 20, until: SECOND });
+        r.hear(30, &key(1), Heard::Ended { shard: 0, at: 30, proof: Proof::Ran });
+        r.hear(30, &key(1), Heard::Closed { answered: false });
+        assert!(!r.may_send(20 + WINDOW, &key(1), 0) && r.may_send(19 + WINDOW, &key(1), 0));
+        assert_eq!(open(&mut r, 20 + WINDOW, 1), Verdict::Over);
+        // One that never ran leaves nothing behind.
+        r.hear(40, &key(2), Heard::Sent { shard: 0, at: 40, until: SECOND });
+        assert_eq!(open(&mut r, 41, 2), Verdict::Busy(SECOND));
+        r.hear(50, &key(2), Heard::Ended { shard: 0, at: 50, proof: Proof::NeverRan });
+        assert_eq!(open(&mut r, 51, 2), Verdict::Serve);
+        // One whose process died in the middle is over with its time.
+        r.hear(60, &key(3), Heard::Opened { until: SECOND });
+        assert_eq!(
+            (open(&mut r, SECOND - 1, 3), open(&mut r, SECOND, 3)),
+            (Verdict::Busy(SECOND), Verdict::Serve)
+        );
+    }
+
+    #[test]
+    fn what_another_process_tells_is_bounded_and_forgotten_in_time() {
+        let mut r = Repeats::new(WINDOW, WINDOW, 10);
+        (0..50).for_each(|n| r.hear(0, &key(n), Heard::Sent { shard: 0, at: 0, until: 0 }));
+        assert_eq!(r.held(), 20);
+        open(&mut r, 3 * WINDOW, 99);
+        assert_eq!(r.held(), 1);
+    }
+
+    proptest! {
+        /// A register that was told all that another knows is never looser than that.
+        #[test]
+        fn what_is_told_is_known(moves in prop::collection::vec((0usize..4, 0usize..4, 0u64..3), 1..60)) {
+            let mut old = register();
+            let mut now = 0;
+            let mut out: Vec<(usize, usize)> = Vec::new();
+            for (what, n, wait) in moves {
+                now += wait * SECOND;
+                match what {
+                    0 => _ = open(&mut old, now, n),
+                    1 if old.may_send(now, &key(n), 0) && old.entries.get(&key(n)).is_some_and(|e| e.open.is_some()) => {
+                        old.sent(now, &key(n), 0, now + SECOND);
+                        out.push((n, 0));
+                    }
+                    2 if !out.is_empty() => {
+                        let (n, shard) = out.swap_remove(n % out.len());
+                        old.ended(now, &key(n), shard, [Proof::Ran, Proof::MayRun, Proof::NeverRan][(wait as usize) % 3]);
+                    }
+                    _ => old.close(now, &key(n), wait == 1),
+                }
+                let mut new = register();
+                old.tell(|key, heard| new.hear(now, key, heard));
+                for n in 0..4 {
+                    let (was, is) = (open(&mut old.clone(), now, n), open(&mut new, now, n));
+                    prop_assert!(is != Verdict::Serve || was == Verdict::Serve, "{was:?} {is:?}");
+                }
+            }
+        }
+    }
 }
