--- a/crates/ploverport/tests/operation/upgrade.rs
+++ b/crates/ploverport/tests/operation/upgrade.rs
@@ -281,3 +281,34 @@
     assert!(old.exit().unwrap().success());
     assert!(matches!(ask(shared.address(), &save("a", "k1")), Answer::Served(true, _)));
 }
+
+/// A request that is half written when its process is told to end is answered by it; SIGHUP to both meanwhile, and a
+/// discovery that says nothing, change nothing about that, nor about what the new one serves.
+#[test]
+fn what_is_half_written_at_the_change_is_answered() {
+    let shared = Shared::new("half");
+    let fleet = fleet(Duration::ZERO);
+    let mut old = shared.start(&fleet);
+    let body = r#"{"ranges":[{"range":0,"portion":1}],"predicate":"c41e77d0"}"#;
+    let mut half = std::net::TcpStream::connect(shared.address()).unwrap();
+    let head = format!(
+        "POST /lookup HTTP/1.1\r\nHost: a\r\nX-Request-Id: half\r\nX-Tenant: public-site\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
+    half.write_all(head.as_bytes()).unwrap();
+    // The old one has it in hand: it is the only one there, and answers who came later.
+    assert!(matches!(ask(shared.address(), &Ask::new("a", "lookup", &[0])), Answer::Served(true, _)));
+    fleet.silence_discovery(true);
+    let mut new = shared.start(&fleet);
+    for program in [&mut old, &mut new] {
+        program.signal("HUP").unwrap();
+        program.logged("event=reloaded").unwrap();
+    }
+    old.signal("TERM").unwrap();
+    old.logged("event=leaving").unwrap();
+    half.write_all(body.as_bytes()).unwrap();
+    let (head, closes) = crate::rig::Sent(half).answer();
+    assert!(head.starts_with("HTTP/1.1 200") && closes, "{head}");
+    assert!(old.exit().unwrap().success());
+    assert!(matches!(ask(shared.address(), &save("b", "k1")), Answer::Served(true, _)));
+}
