Free a seat of the door at once when its caller is made to go

Cause: a caller without a whole call that was made to go kept its seat for up to 500 ms more, while its connection was read on; 200 at once held the door for seconds (a soak with holders did not end in 150 s).

Change: such a caller is told 408 as far as the socket takes it at once, and closed.

--- a/crates/broker/src/front/door.rs
+++ b/crates/broker/src/front/door.rs
@@ -105,8 +105,12 @@
             Err(io::ErrorKind::TimedOut.into())
         };
         match limited(CALL_TIME, read.or(evicted)).await {
+            // Its seat is wanted, or its time is over: what the socket takes at once is all that it is told, since a seat
+            // that waited for it to go would be held by it still.
             Err(e) if e.kind() == io::ErrorKind::TimedOut => {
-                Ok(Err(plain(408, "", "the call did not come in time")))
+                let late = plain(408, "", "the call did not come in time");
+                let _ = stream.get_ref().write(&encode_response(&self.shared.dated(late), LAST));
+                Err(e)
             }
             other => other,
         }
--- a/crates/ploverport/tests/operation/door.rs
+++ b/crates/ploverport/tests/operation/door.rs
@@ -44,7 +44,12 @@
             assert_eq!(call(&program, "GET", "/api/ready").0, 200, "after {n}");
         }
     }
-    assert_eq!(figures(&program)["outstanding"], 0);
+    // And all at once: a seat that was taken back must be free at once, not once its holder goes.
+    let burst: Vec<TcpStream> = (0..200).map(|_| TcpStream::connect(program.ops.unwrap()).unwrap()).collect();
+    for n in 0..5 {
+        assert_eq!(call(&program, "GET", "/api/ready").0, 200, "call {n} behind the burst");
+    }
+    assert_eq!((figures(&program)["outstanding"], burst.len()), (0, 200));
 }
 
 #[test]
