--- a/crates/broker/src/neighbours.rs
+++ b/crates/broker/src/neighbours.rs
@@ -242,12 +242,8 @@
 
     /// The links that are owed all that is known, once.
     pub(crate) fn owed(&mut self) -> Vec<LinkId> {
-        let owed: Vec<LinkId> = self
-            .known
-            .links()
-            .into_iter()
-            .filter(|id| self.known.is_owed(*id) && !self.told.contains(id))
-            .collect();
+        let mut owed = self.known.greeted();
+        owed.retain(|id| !self.told.contains(id));
         self.told.extend(&owed);
         owed
     }
--- a/crates/handover/src/neighbours.rs
+++ b/crates/handover/src/neighbours.rs
@@ -1,6 +1,6 @@
 //! What one process knows of its neighbours, and what it may do therefore.
 
-use crate::wire::{Fault, Greeting, Proof, Reader, Word, greet, say};
+use crate::wire::{Fault, Greeting, Reader, Word, greet, say};
 use plover_model::recall::Recall;
 use plover_model::time::{MILLI, Micros, SECOND};
 use std::collections::{BTreeMap, VecDeque};
@@ -179,12 +179,6 @@
         Ok(())
     }
 
-    /// Whether this link's neighbour has greeted and was told nothing yet: it is owed all that is known, and
-    /// [`Word::Told`] after it.
-    pub fn is_owed(&self, id: LinkId) -> bool {
-        self.links.get(&id).is_some_and(|l| l.peer.is_some())
-    }
-
     /// Tells one neighbour something.
     pub fn tell(&mut self, now: Micros, id: LinkId, word: &Word) {
         let Some(link) = self.links.get_mut(&id).filter(|l| l.state != State::Strange) else { return };
@@ -200,8 +194,8 @@
         }
     }
 
-    /// The links whose neighbours have greeted.
-    pub fn links(&self) -> Vec<LinkId> {
+    /// The links whose neighbours have greeted: each is owed all that is known, once, and [`Word::Told`] after it.
+    pub fn greeted(&self) -> Vec<LinkId> {
         self.links.iter().filter(|(_, l)| l.peer.is_some()).map(|(id, _)| *id).collect()
     }
 
@@ -340,14 +334,6 @@
     (a.started, a.pid) < (b.started, b.pid)
 }
 
-/// What an attempt's end proves, as a register of keys has it.
-impl Proof {
-    /// Whether it may have run.
-    pub fn may_have_run(self) -> bool {
-        self != Proof::NeverRan
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -371,7 +357,7 @@
         assert!(old.connected(10, 1, 2) && new.connected(10, 1, 2));
         assert!(carry(10, &mut old, &mut new).is_empty() && carry(10, &mut new, &mut old).is_empty());
         for side in [&mut old, &mut new] {
-            assert!(side.is_owed(1));
+            assert_eq!(side.greeted(), [1]);
             side.tell(10, 1, &Word::Told);
         }
         assert_eq!(carry(10, &mut old, &mut new), [News::Joined(true)]);
--- a/crates/handover/tests/key_model.rs
+++ b/crates/handover/tests/key_model.rs
@@ -85,7 +85,7 @@
             s.sides[n].known.lost(now, id, alive);
         }
         let side = &mut s.sides[n];
-        if side.linked && side.owed && side.known.is_owed(1) {
+        if side.linked && side.owed && !side.known.greeted().is_empty() {
             side.owed = false;
             if let Some(at) = side.first {
                 side.known.tell(now, 1, &Word::KeySent { key: "k".into(), shard: 0, at, until: at });
