State once what the end of an attempt proves

Need: the register of keys and the hand-over each had the same three words, with conversions both ways between them.

Change: one type in the model package; the conversions are gone. Result: the packages' tests and those of daily operation pass, no lint.

--- a/crates/broker/src/queries.rs
+++ b/crates/broker/src/queries.rs
@@ -5,14 +5,14 @@
 use brookbend::api::{Semantics, Settings};
 use plover_admission::{Connection, Shares};
 use plover_core::{Dispatch, Query};
-use plover_handover::wire::{self, Word};
+use plover_handover::wire::Word;
 use plover_handover::{Keyed, Neighbours};
 use plover_limits::{Gate, Permit};
-use plover_model::query::{Ask, AttemptId, QueryId, Reply};
+use plover_model::query::{Ask, AttemptId, Proof, QueryId, Reply};
 use plover_model::server::Outcome;
 use plover_model::time::{Micros, millis};
 use plover_ops::{Books, Census, End, Row};
-use plover_repeats::{Heard, Proof, Repeats, Verdict};
+use plover_repeats::{Heard, Repeats, Verdict};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use tracing::{Span, debug, debug_span, info};
@@ -84,20 +84,12 @@
             Word::KeySent { key, shard: shard as u32, at: origin + at, until: origin + until }
         }
         Heard::Ended { shard, at, proof } => {
-            Word::KeyEnded { key, shard: shard as u32, at: origin + at, proof: told_proof(proof) }
+            Word::KeyEnded { key, shard: shard as u32, at: origin + at, proof }
         }
         Heard::Closed { answered } => Word::KeyClosed { key, at: origin, answered },
     }
 }
 
-fn told_proof(proof: Proof) -> wire::Proof {
-    match proof {
-        Proof::NeverRan => wire::Proof::NeverRan,
-        Proof::Ran => wire::Proof::Ran,
-        Proof::MayRun => wire::Proof::MayRun,
-    }
-}
-
 /// The other processes of this broker, if there may be any.
 #[derive(Clone, Copy)]
 pub(crate) struct Beside<'a>(pub(crate) Option<&'a Neighbours>);
@@ -191,11 +183,6 @@
                 (key, Heard::Sent { shard: shard as usize, at: at(sent), until: at(until) })
             }
             Word::KeyEnded { key, shard, at: ended, proof } => {
-                let proof = match proof {
-                    wire::Proof::NeverRan => Proof::NeverRan,
-                    wire::Proof::Ran => Proof::Ran,
-                    wire::Proof::MayRun => Proof::MayRun,
-                };
                 (key, Heard::Ended { shard: shard as usize, at: at(ended), proof })
             }
             Word::KeyClosed { key, answered, .. } => (key, Heard::Closed { answered }),
@@ -404,7 +391,7 @@
                 Outcome::TimedOut | Outcome::ConnectionLost | Outcome::Cancelled => Proof::MayRun,
             };
             if let Some(words) = &mut self.words {
-                let (at, proof) = (self.origin + now, told_proof(proof));
+                let at = self.origin + now;
                 words.push(Word::KeyEnded { key: key.as_ref().to_owned(), shard: shard as u32, at, proof });
             }
             self.repeats.ended(now, &key, shard, proof);
--- a/crates/handover/src/wire.rs
+++ b/crates/handover/src/wire.rs
@@ -4,6 +4,7 @@
 //! frame of each side is its greeting: [`MAGIC`], the version (two bytes, most significant first), and the rest as that
 //! version has it. All later frames hold one [`Word`] as postcard encodes it (postcard.jamesmunns.com, wire format 1.0).
 
+use plover_model::query::Proof;
 use plover_model::recall::Recall;
 use plover_model::time::Micros;
 use serde::{Deserialize, Serialize};
@@ -27,17 +28,6 @@
     pub pid: u32,
 }
 
-/// What an attempt's end proves, see `plover_repeats`.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub enum Proof {
-    /// It never ran.
-    NeverRan,
-    /// It ran.
-    Ran,
-    /// It may have run.
-    MayRun,
-}
-
 /// What is told after the greetings.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Word {
--- a/crates/model/src/query.rs
+++ b/crates/model/src/query.rs
@@ -1,10 +1,22 @@
 //! A query: what a client asks, its parts and attempts, and the one final answer.
 
 use crate::time::Micros;
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
 
+/// What the end of an attempt proves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Proof {
+    /// It never ran.
+    NeverRan,
+    /// It has run, and is over.
+    Ran,
+    /// It may have run, or may yet, until it stops being waited for.
+    MayRun,
+}
+
 /// Number of a query, never used twice.
 pub type QueryId = u64;
 
--- a/crates/repeats/src/lib.rs
+++ b/crates/repeats/src/lib.rs
@@ -10,6 +10,7 @@
 //! query has ended. The register holds a bounded number of keys; when it is full, keys that were answered go first,
 //! and if there are none, a new key is put off rather than an old one forgotten.
 
+use plover_model::query::Proof;
 use plover_model::time::Micros;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -25,17 +26,6 @@
     Over,
 }
 
-/// What the end of an attempt proves.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Proof {
-    /// It never ran.
-    NeverRan,
-    /// It has run, and is over.
-    Ran,
-    /// It may have run, or may yet, until it stops being waited for.
-    MayRun,
-}
-
 /// What another process of this broker does with a key, in the order in which it does it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Heard {
