--- a/crates/ploverport/tests/operation/soak.rs
+++ b/crates/ploverport/tests/operation/soak.rs
@@ -77,6 +77,9 @@
             [Fault::Errors(2), Fault::Resets(5), Fault::Slow(Duration::from_millis(80)), Fault::Garbles(7)]
                 [round % 4],
         );
+        // Two hundred that hold the door without a whole call.
+        let _holders: Vec<_> =
+            (0..200).filter_map(|_| std::net::TcpStream::connect(program.ops.unwrap()).ok()).collect();
         assert_eq!(timed(&program, "PUT", "/api/evacuate"), 200);
         while timed(&program, "GET", "/api/ready") == 503
             && call(&program, "GET", "/api/ready").1 != "empty\n"
