Turns at cold servers follow what parts wish for, at any number of brokers

Cause, as probed before: `cold_room` (choice.rs) drew a turn each second with a chance of even part over work, as if each broker had a part for this server in that second. With 300 brokers each has 0.05 to 0.17 a second, so that nearly all turns went to brokers with nothing to send. A test of many aggregators at one cold server gives the same: filled to 0.09 of what it can do with 300 even ones, 0.56 with 30, 1.2 with 3.

Change: the chance is (turns meant) x (own share) / (share of seconds in which a part wishes for such a server). - Turns meant: m with m + 2 sqrt(m) = the limit in parts, halved as demand may double at once: at 0.18 of one core 0.9 of 4.5 parts, at a half 3.6 of 12.5. Expected sum m x (sum of shares, about 1), so passing the limit is over four deviations off in usual demand, two where it doubles. - Own share: work served by one warm server; by warm ones alone (what cold ones answered was counted and divided by the few warm ones), and beginning at an even part. Thin brokers count halfway to that. - Wishes are counted (`demand.rs`): what `pick` would take if there were turns, over all cold servers beside warm ones; where none is warm, all parts of the cell for as long as they are held.

Test, `cold_turns.rs`: 3, 30 and 300 aggregators, even and skewed traffic, tripled, and with all warm ones gone: worst window 0.39 to 0.92 of the limit, filled 0.53 to 1.46 of what it can do. Breaks with each guard out.

--- a/crates/brookbend/src/choice.rs
+++ b/crates/brookbend/src/choice.rs
@@ -4,11 +4,12 @@
 //! further attempts, replies, refusals, health, cold servers, and the width loop.
 
 use crate::api::*;
+use crate::demand::{Demand, turns_within};
 use crate::state::{
     Desk, Dice, Fleet, Flight, Held, Learned, Patience, Piece, Server, Told, Try, Width, never_ran, short,
     trim,
 };
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::VecDeque;
 
 /// Share of calls ending full or timed out that the width loop steers to: the design's figure.
 const WIDTH_TARGET: f64 = 0.02;
@@ -120,6 +121,10 @@
 const ASK: (f64, f64) = (0.03, 0.3);
 /// Share of a cold server's limit that all may use together: traffic comes in bursts, and part of it unseen.
 const COLD_SAFE: f64 = 0.75;
+/// Turns by chance add up to a number that scatters: so many times its root is kept free below the limit.
+const COLD_SCATTER: f64 = 2.0;
+/// And demand may grow all at once by this factor, as where the last warm server of a cell goes.
+const COLD_SURGE: f64 = 2.0;
 /// Sums of weights may fall this short: they are rounded on their way.
 const ROUNDING: f64 = 5e-5;
 /// With nothing in hand, look around this often, in ticks.
@@ -149,13 +154,14 @@
     pub fn new(set: Settings, seed: u64) -> Self {
         let width = Width { rows: set.reach.max(1) as f64, ..Default::default() };
         let unit = set.call_work.max(1.0) * FIRST_UNIT;
+        let served_rate = 1.0 / set.aggregators.max(1) as f64;
         let first = Learned { width, unit, second: unit, ..Default::default() };
         Aggregator {
             dice: Dice::new(seed),
             now: 0.0,
             out: Vec::new(),
             fleet: Fleet::default(),
-            desk: Desk::default(),
+            desk: Desk { demand: Demand::new(set.cells), served_rate, ..Desk::default() },
             learned: vec![first; set.classes.len()],
             fleet_pace: FIRST_PACE,
             next_second: f64::NEG_INFINITY,
@@ -171,7 +177,7 @@
     /// Takes all events of one moment and says what to do. Sends are decided last, so that they bundle.
     pub fn on_batch(&mut self, now: Ms, events: Vec<Event>) -> Vec<Action> {
         self.now = now;
-        self.desk.stood = now > self.wake_at + PAUSE_AIM * self.shortest_aim();
+        self.desk.stood = now > self.wake_at + PAUSE_AIM * self.set.shortest_aim();
         self.fleet.servers.iter_mut().for_each(|s| s.bundled = 0);
         for event in events {
             match event {
@@ -398,10 +404,10 @@
         let late = oldest.map_or(0.0, |(sent, expected)| self.now - sent - expected).max(0.0);
         let wait = late + (s.full_until - self.now).max(0.0);
         // Not heard for an aim: its zone's silence warns of it, so that a cut is not met at each server anew.
-        let unheard = s.zone.filter(|_| s.heard < self.now - self.shortest_aim());
+        let unheard = s.zone.filter(|_| s.heard < self.now - self.set.shortest_aim());
         let zone = unheard.and_then(|z| self.fleet.silence.get(&z)).copied().unwrap_or(0.0);
         let own = s.of_class.get(&class).map_or(0.0, |c| c.errors);
-        let errors = s.errors.max(zone).max(own) * ERROR_AIM * self.shortest_aim();
+        let errors = s.errors.max(zone).max(own) * ERROR_AIM * self.set.shortest_aim();
         s.pace * (self.others(s) + s.work_out + work) + wait + errors
     }
 
@@ -413,9 +419,12 @@
 
     /// Whether a server may be picked at all: not ejected, not full, and within its allowance if cold.
     fn fit(&self, server: usize, work: Ms) -> bool {
+        self.sound(server) && self.cold_room(server, work)
+    }
+
+    fn sound(&self, server: usize) -> bool {
         let s = &self.fleet.servers[server];
-        let trial = s.failures < EJECT_RUN || s.flying.is_empty();
-        trial && self.now >= s.shun_until && self.cold_room(server, work)
+        (s.failures < EJECT_RUN || s.flying.is_empty()) && self.now >= s.shun_until
     }
 
     /// Whether a part for this server leaves our zone.
@@ -427,9 +436,11 @@
     /// Borrow: the row holder unless it is unfit or clearly behind; then the holder with the best forecast. A
     /// server that this batch calls already needs no new call, so it is preferred. With no fit holder the
     /// best of the others serves: the last holder is never ejected. None: all are gone, or cold and filled.
-    fn pick(&self, q: &Held, i: usize) -> Option<usize> {
+    fn pick(&self, q: &Held, i: usize, room: impl Fn(&Self, usize, Ms) -> bool) -> Option<usize> {
         let piece = &q.pieces[i];
         let work = self.work(q, i);
+        let room = |s: &usize| room(self, *s, work);
+        let fit = |s: &usize| self.sound(*s) && room(s);
         let used = |s: &usize| piece.tries.iter().any(|t| t.server == *s);
         let holders = self.fleet.rows.of(piece.shard);
         let fresh = holders.iter().any(|s| !used(s));
@@ -440,15 +451,25 @@
             self.forecast(s, q.class, work + self.call_work(s)) + crossing
         };
         let best = |of: &mut dyn Iterator<Item = usize>| of.min_by(|a, b| score(*a).total_cmp(&score(*b)));
-        let Some(best_fit) = best(&mut holders.iter().copied().filter(|s| open(s) && self.fit(*s, work)))
-        else {
-            return best(&mut holders.iter().copied().filter(|s| open(s) && self.cold_room(*s, work)));
+        let Some(best_fit) = best(&mut holders.iter().copied().filter(|s| open(s) && fit(s))) else {
+            return best(&mut holders.iter().copied().filter(|s| open(s) && room(s)));
         };
         let margin = BEHIND_AIM * self.set.classes[q.class].aim;
-        let keeps = |s: &usize| open(s) && self.fit(*s, work) && score(*s) <= score(best_fit) + margin;
+        let keeps = |s: &usize| open(s) && fit(s) && score(*s) <= score(best_fit) + margin;
         piece.row_holder.filter(|s| holders.contains(s) && keeps(s)).or(Some(best_fit))
     }
 
+    /// Notes that a part wants a server, and which cold one, if any, it would go to.
+    fn want(&mut self, q: &Held, i: usize) {
+        self.desk.demand.part(q.pieces[i].shard);
+        let cold = |s: &usize| self.fleet.servers[*s].cold_since.is_some();
+        if self.fleet.rows.of(q.pieces[i].shard).iter().any(cold)
+            && let Some(s) = self.pick(q, i, |_, _, _| true)
+        {
+            self.fleet.servers[s].wished = true;
+        }
+    }
+
     // ---- attempts
 
     /// Sends a part's first attempt, a retry of a failed one, or a second copy of an overdue one.
@@ -461,7 +482,8 @@
             if piece.reserve && !q.pieces.iter().any(|p| self.troubled(q, p)) {
                 return;
             }
-            if let Some(s) = self.pick(q, i) {
+            self.want(q, i);
+            if let Some(s) = self.pick(q, i, Self::cold_room) {
                 self.send(q, i, s);
             }
             return;
@@ -474,7 +496,8 @@
         if (out && !self.late(q, piece)) || !self.budget_left() {
             return;
         }
-        let Some(s) = self.pick(q, i) else { return };
+        self.want(q, i);
+        let Some(s) = self.pick(q, i, Self::cold_room) else { return };
         let forecast = self.forecast(s, q.class, self.work(q, i) + self.call_work(s));
         // A copy must come in time to count, and the overdue one be late by more than a copy takes: on a busy
         // fleet copies then wait, on an idle one they go soon.
@@ -537,7 +560,7 @@
     /// Room for one more attempt beyond a first in the rule's exact sliding window, or our own where none
     /// is set, so that retries and copies cannot feed an overload.
     fn budget_left(&mut self) -> bool {
-        let span = OWN_SPAN_AIMS * self.shortest_aim();
+        let span = OWN_SPAN_AIMS * self.set.shortest_aim();
         let own = AttemptBudget { spare: OWN_SPARE, per_request: OWN_SHARE, span };
         let rule = self.set.budget.unwrap_or(own);
         let from = self.now - rule.span;
@@ -767,7 +790,7 @@
     /// fills a few aims at most, drains with time, and no rule rests on it.
     fn hear_load(&mut self, f: &Flight, load: Option<f64>) {
         let Some(held) = load else { return };
-        let most = OVERDUE * self.shortest_aim() / self.fleet_pace.max(NEWS);
+        let most = OVERDUE * self.set.shortest_aim() / self.fleet_pace.max(NEWS);
         let s = &mut self.fleet.servers[f.server];
         // Servers put one report into many answers: a repeat is as old as its first, and drains on.
         if std::mem::replace(&mut s.held, held) == held {
@@ -785,7 +808,7 @@
 
     pub(crate) fn landed(&mut self, f: &Flight, outcome: Outcome, elapsed: Ms) {
         let elapsed = if elapsed.is_finite() { elapsed.max(0.0) } else { self.now - f.sent };
-        let aim = self.shortest_aim();
+        let aim = self.set.shortest_aim();
         let jitter = 0.75 + 0.5 * self.dice.random();
         self.desk.untold.insert(f.server);
         let s = &mut self.fleet.servers[f.server];
@@ -820,7 +843,7 @@
             Outcome::Cancelled if !silent => return,
             Outcome::Served => {
                 width.ended += 1;
-                self.desk.served += f.work;
+                self.desk.served += if s.warm() { f.work } else { 0.0 };
                 let elapsed = if self.desk.stood { elapsed.min(f.expected) } else { elapsed };
                 let pace = elapsed / f.ahead.max(1.0);
                 let news = if elapsed > OVERDUE * f.expected { SLOW_NEWS } else { NEWS };
@@ -878,10 +901,6 @@
         }
     }
 
-    fn shortest_aim(&self) -> Ms {
-        self.set.classes.iter().map(|c| c.aim).fold(f64::INFINITY, f64::min).min(1e9)
-    }
-
     // ---- cold servers
 
     /// Whether a server that may be cold has room for more work within its window (rule 4), under a multiple
@@ -898,14 +917,28 @@
         }
         let capacity = rule.from + (1.0 - rule.from) * age;
         let most = COLD_SAFE * rule.fall_multiple * capacity * rule.fall_after;
-        let even = most * (1.0 / self.set.aggregators.max(1) as f64).max(self.desk.served_rate);
+        let (part, served) = (1.0 / self.set.aggregators.max(1) as f64, self.desk.served_rate);
+        let share = served.max((part + served) / 2.0);
+        let even = most * share;
         let from = self.now - rule.fall_after;
         let sent: Ms = s.cold_sends.iter().filter(|(t, _)| *t >= from).map(|(_, w)| w).sum();
         // An even part of less than one part's work is a turn: by chance, drawn anew each second, or where
-        // messages show that what is out there already leaves room, beside what it can do in the window.
+        // messages show that what is out there already leaves room, beside what it can do in the window. A
+        // turn is lost where no part is there to take it, so that the chance grows as those are rare: over
+        // all aggregators, demand times chance then sums up to the turns meant, however many they are.
         let spare = (rule.fall_multiple - 1.0) * capacity * rule.fall_after;
         let told = self.told_at > self.now - SECOND && s.others + work <= spare;
-        sent + work <= even || (sent == 0.0 && (told || s.lot < even / work * SECOND / rule.fall_after))
+        let held = (!self.warm_beside(s)).then(|| self.set.longest_wait() / SECOND);
+        let demand = self.desk.demand.of_one(s.cell, self.set.reach, held);
+        let turns = turns_within(most / (COLD_SAFE * work.max(1.0)), COLD_SCATTER) / COLD_SURGE;
+        let turn = turns * share * SECOND / (rule.fall_after * demand);
+        sent + work <= even || (sent == 0.0 && (told || s.lot < turn))
+    }
+
+    /// Whether a warm server that may be sent to holds what this one does.
+    fn warm_beside(&self, s: &Server) -> bool {
+        let warm = |i: &usize| self.fleet.servers[*i].warm() && self.sound(*i);
+        self.fleet.rows.of(s.cell).iter().any(warm)
     }
 
     // ---- what the other aggregators have out, where messages are allowed
@@ -917,8 +950,8 @@
         if !self.set.messages || self.desk.untold.is_empty() || self.now < self.desk.tell_at {
             return;
         }
-        self.desk.tell_at = self.now + TELL_AIM * self.shortest_aim();
-        let step = TELL_STEP * self.shortest_aim();
+        self.desk.tell_at = self.now + TELL_AIM * self.set.shortest_aim();
+        let step = TELL_STEP * self.set.shortest_aim();
         let mut bytes = Vec::new();
         for i in std::mem::take(&mut self.desk.untold) {
             let s = &self.fleet.servers[i];
@@ -936,8 +969,8 @@
             return;
         }
         self.told_at = self.now;
-        let step = TELL_STEP * self.shortest_aim();
-        let hold = EJECT_FIRST * self.shortest_aim() * (0.75 + 0.5 * self.dice.random());
+        let step = TELL_STEP * self.set.shortest_aim();
+        let hold = EJECT_FIRST * self.set.shortest_aim() * (0.75 + 0.5 * self.dice.random());
         for entry in bytes.chunks(3) {
             let Some(&i) = self.fleet.by_short.get(&[entry[0], entry[1]]) else { continue };
             let s = &mut self.fleet.servers[i];
@@ -971,6 +1004,9 @@
         // Nothing heard, as when all is refused after a bad spell: it fades, or it would be believed on.
         let median = paces.get(paces.len() / 2).copied();
         self.fleet_pace = median.unwrap_or(self.fleet_pace + FORGET * (FIRST_PACE - self.fleet_pace));
+        let cold = |s: &&Server| s.cold_since.is_some() && self.warm_beside(s);
+        let wished: Vec<bool> = self.fleet.servers.iter().filter(cold).map(|s| s.wished).collect();
+        self.desk.demand.second(NEWS, &wished);
         for s in &mut self.fleet.servers {
             if s.heard < self.now - SECOND {
                 s.pace += FORGET * (self.fleet_pace - s.pace);
@@ -980,17 +1016,18 @@
                 s.errors *= 1.0 - FORGET;
             }
             let heard = self.now - TOLD_SECONDS * SECOND;
-            s.lot = self.dice.random();
+            (s.lot, s.wished) = (self.dice.random(), false);
             s.told_by.retain(|_, t| t.at > heard);
             s.others = s.told_by.values().map(|t| t.work).sum();
             let window = self.now - self.set.cold.fall_after;
             s.cold_sends.retain(|(t, _)| *t >= window);
             s.cold_since = s.cold_since.filter(|c| c + self.set.cold.warm_after > self.now);
         }
-        let warm = |s: &&Server| s.state == NodeState::Serving && s.cold_since.is_none();
-        let warm = self.fleet.servers.iter().filter(warm).count().max(1) as f64;
-        let served = std::mem::take(&mut self.desk.served) / SECOND / warm;
-        self.desk.served_rate += NEWS * (served - self.desk.served_rate);
+        let warm = self.fleet.servers.iter().filter(|s| s.warm()).count();
+        let served = std::mem::take(&mut self.desk.served) / SECOND / warm.max(1) as f64;
+        if warm > 0 {
+            self.desk.served_rate += NEWS * (served - self.desk.served_rate);
+        }
         let out = self.fleet.servers.iter().enumerate().filter(|(_, s)| s.work_out > 0.0);
         self.desk.untold.extend(out.map(|(i, _)| i));
         self.forget_gone();
@@ -999,21 +1036,12 @@
 
     /// Servers get new names all day: those that are gone must not be kept, nor looked through, for ever.
     fn forget_gone(&mut self) {
-        let pieces = || self.desk.queries.values().flat_map(|q| &q.pieces);
-        let tried = pieces().flat_map(|p| p.tries.iter().map(|t| t.server));
-        let flying = self.desk.flights.values().map(|f| f.server);
-        let in_use: BTreeSet<usize> =
-            tried.chain(pieces().filter_map(|p| p.row_holder)).chain(flying).collect();
+        let in_use = self.desk.servers();
         self.fleet.forget_gone(self.now - self.set.cold.warm_after, |i| in_use.contains(&i));
         let names = &self.fleet.by_name;
         self.desk.untold.retain(|i| names.values().any(|known| known == i));
     }
 
-    /// How many servers it holds records of.
-    pub fn servers_known(&self) -> usize {
-        self.fleet.servers.len()
-    }
-
     /// One PD step on the share of calls that ended full or timed out; an empty second changes nothing.
     fn steer_width(&mut self, class: usize) {
         let rows = self.fleet.rows.most().max(1);
--- a/crates/brookbend/src/lib.rs
+++ b/crates/brookbend/src/lib.rs
@@ -50,6 +50,7 @@
 
 pub mod api;
 pub mod choice;
+mod demand;
 pub mod recall;
 mod retune;
 pub mod room;
--- a/crates/brookbend/src/retune.rs
+++ b/crates/brookbend/src/retune.rs
@@ -35,6 +35,9 @@
             }
         }
         self.tenant_taken.resize_with(fresh.set.tenants.len(), Default::default);
+        if self.desk.demand.cells() != fresh.set.cells {
+            self.desk.demand = fresh.desk.demand;
+        }
         self.set = fresh.set;
         self.fleet.make_rows(self.set.cells, self.set.reach);
     }
--- a/crates/brookbend/src/state.rs
+++ b/crates/brookbend/src/state.rs
@@ -1,6 +1,7 @@
 //! Plain records of what an aggregator knows, without a decision or a tuned value in them.
 
 use crate::api::*;
+use crate::demand::Demand;
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::{RngCore, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -30,8 +31,9 @@
     pub(crate) cold_since: Option<Ms>,
     /// Work sent while cold, by time.
     pub(crate) cold_sends: VecDeque<(Ms, Ms)>,
-    /// This second's draw for a turn at it while it is cold.
+    /// This second's draw for a turn at it while it is cold, and whether a part would take one.
     pub(crate) lot: f64,
+    pub(crate) wished: bool,
     /// Parts sent in this batch: they share calls.
     pub(crate) bundled: usize,
     /// Work that others told they have out here, in all, and what each told last.
@@ -124,6 +126,8 @@
     /// Work served since the last second began; and, smoothed, by each warm server in a millisecond.
     pub(crate) served: Ms,
     pub(crate) served_rate: f64,
+    /// How often parts want a server.
+    pub(crate) demand: Demand,
     /// Servers whose work out has changed since the others were told, and when they may be told next.
     pub(crate) untold: BTreeSet<usize>,
     pub(crate) tell_at: Ms,
@@ -131,6 +135,28 @@
     pub(crate) stood: bool,
 }
 
+impl Desk {
+    /// The servers that something in hand refers to.
+    pub(crate) fn servers(&self) -> BTreeSet<usize> {
+        let pieces = || self.queries.values().flat_map(|q| &q.pieces);
+        let tried = pieces().flat_map(|p| p.tries.iter().map(|t| t.server));
+        let flying = self.flights.values().map(|f| f.server);
+        tried.chain(pieces().filter_map(|p| p.row_holder)).chain(flying).collect()
+    }
+}
+
+impl Settings {
+    pub(crate) fn shortest_aim(&self) -> Ms {
+        self.classes.iter().map(|c| c.aim).fold(f64::INFINITY, f64::min).min(1e9)
+    }
+
+    /// How long a part may be held at the most.
+    pub(crate) fn longest_wait(&self) -> Ms {
+        let wait = |c: &Class| if c.late_worth > 0.0 { c.give_up } else { c.aim };
+        self.classes.iter().map(wait).fold(0.0, f64::max).min(1e9)
+    }
+}
+
 /// The patience that the clients of one class show.
 #[derive(Clone, Default)]
 pub(crate) struct Patience {
@@ -168,6 +194,11 @@
         before
     }
 
+    /// Whether it serves, and has for long enough.
+    pub(crate) fn warm(&self) -> bool {
+        self.state == NodeState::Serving && self.cold_since.is_none()
+    }
+
     pub(crate) fn new(node: NodeId, pace: f64) -> Self {
         Server {
             node,
@@ -189,6 +220,7 @@
             cold_since: None,
             cold_sends: VecDeque::new(),
             lot: 1.0,
+            wished: false,
             bundled: 0,
             others: 0.0,
             reported: (0.0, f64::NEG_INFINITY),
--- a/crates/brookbend/src/view.rs
+++ b/crates/brookbend/src/view.rs
@@ -64,6 +64,11 @@
         servers.filter(|s| s.state != NodeState::Gone).map(view).collect()
     }
 
+    /// How many servers it holds records of.
+    pub fn servers_known(&self) -> usize {
+        self.fleet.servers.len()
+    }
+
     /// Takes what others saw since the last report, as a few attempts in the same proportion: failures first, so that the
     /// answers beside them tell of a server that is up.
     pub fn report_bulk(&mut self, now: Ms, class: ClassIndex, reports: &[Bulk]) {
--- /dev/null
+++ b/crates/brookbend/tests/cold_turns.rs
@@ -0,0 +1,158 @@
+//! What many aggregators together send to one cold server: near what it can do, and never past its limit, however many
+//! they are, however unevenly the queries fall on them, and when far more come all at once.
+
+mod common;
+
+use brookbend::Aggregator;
+use brookbend::api::*;
+use common::*;
+use rand_pcg::Pcg64Mcg;
+use rand_pcg::rand_core::{RngCore, SeedableRng};
+
+const PART: Ms = 60.0;
+const CALL: Ms = 30.0;
+/// An answer of a warm server takes this long: it is lightly loaded.
+const ANSWER: Ms = 100.0;
+/// Parts a second over all aggregators: this share of what the cell's three servers of one core each can do.
+const LOAD: f64 = 0.75;
+const PARTS_PER_S: f64 = LOAD * 3.0 * 1000.0 / (PART + CALL);
+const RULE: ColdRule = ColdRule { from: 0.18, warm_after: 16_000.0, fall_multiple: 2.5, fall_after: 1000.0 };
+
+struct Chance(Pcg64Mcg);
+
+impl Chance {
+    fn random(&mut self) -> f64 {
+        (self.0.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+    }
+    /// Until the next of events at this rate a millisecond.
+    fn wait(&mut self, rate: f64) -> Ms {
+        -(1.0 - self.random()).ln() / rate
+    }
+}
+
+/// When, after its start, the cold one of three servers was sent parts by so many aggregators. Shares of the traffic fall
+/// with the rank of an aggregator by this power; from the start on it is so many times what it was before. If it
+/// is `alone`, the other two are gone by then.
+fn sent_to_cold(aggregators: usize, skew: f64, surge: f64, alone: bool) -> Vec<Ms> {
+    let set = Settings {
+        aggregators,
+        cells: 1,
+        reach: 1,
+        shards: 4,
+        batch: 4,
+        call_work: CALL,
+        cold: RULE,
+        second_copies: false,
+        ..ring()
+    };
+    let weight = |rank: usize| ((rank + 1) as f64).powf(-skew);
+    let all: f64 = (0..aggregators).map(weight).sum();
+    let mut times = Vec::new();
+    for rank in 0..aggregators {
+        let rate = PARTS_PER_S / 1000.0 * weight(rank) / all;
+        let mut chance = Chance(Pcg64Mcg::seed_from_u64(977 * rank as u64 + aggregators as u64));
+        let mut s = Stand::new(set.clone(), 0);
+        s.a = Aggregator::new(set.clone(), 31 + rank as u64);
+        let list = ["a", "b", "c"].map(|n| member(n, 0)).to_vec();
+        s.step(5.0, vec![Event::List { kind: ListKind::Complete, members: list }]);
+        // Aggregators began at moments of their own.
+        s.step(1000.0 * chance.random(), vec![]);
+        let start = 20_000.0;
+        let mut out: Vec<(Ms, String)> = Vec::new();
+        let mut next = s.now + chance.wait(rate);
+        let mut told = false;
+        let mut asked = 0;
+        while s.now < start + RULE.warm_after {
+            out.sort_by(|a, b| a.0.total_cmp(&b.0));
+            let answer = out.first().map_or(f64::INFINITY, |o| o.0);
+            let list = if told { f64::INFINITY } else { start };
+            // Parts that wait are sent between events: seen in time, or they would seem to go together.
+            let at = next.min(answer).min(list).min(s.now + 10.0).max(s.now);
+            let events = if at >= list {
+                told = true;
+                let mut members = vec![Member { started: Some(start), ..member("c", 0) }];
+                let gone = |n| Member { state: NodeState::Gone, ..member(n, 0) };
+                members.extend(["a", "b"].into_iter().filter(|_| alone).map(gone));
+                vec![Event::List { kind: ListKind::Changes, members }]
+            } else if at >= answer {
+                vec![ended(&out.remove(0).1, 0, Outcome::Served, ANSWER)]
+            } else if at < next {
+                vec![]
+            } else {
+                asked += 1;
+                next = at + chance.wait(if at > start { rate * surge } else { rate });
+                s.query(&format!("q{rank}-{asked}"), 0, &[asked % 4], 4000.0)
+            };
+            let actions = s.step(at - s.now, events);
+            for (part, node, _) in sends(&actions) {
+                if node == "c" && at >= start && at < start + RULE.warm_after {
+                    times.push(at - start);
+                }
+                // Servers answer no more than they can do.
+                if at < start || chance.random() < 1.0 / (LOAD * surge) {
+                    out.push((at + ANSWER, part));
+                }
+            }
+        }
+    }
+    times.sort_by(f64::total_cmp);
+    times
+}
+
+fn capacity(age: Ms) -> f64 {
+    RULE.from + (1.0 - RULE.from) * (age / RULE.warm_after).min(1.0)
+}
+
+/// The largest share of the rule's limit that a window reached.
+fn worst_window(times: &[Ms]) -> f64 {
+    let window = |(last, at): (usize, &Ms)| {
+        let from = times.partition_point(|t| *t <= at - RULE.fall_after);
+        let work = (last + 1 - from) as f64 * PART;
+        let can = (capacity((at - RULE.fall_after).max(0.0)) + capacity(*at)) / 2.0;
+        work / (RULE.fall_multiple * can * RULE.fall_after)
+    };
+    times.iter().enumerate().map(window).fold(0.0, f64::max)
+}
+
+/// Work, calls included, sent in the first half of the cold time, in what the server can do then.
+fn filled(times: &[Ms]) -> f64 {
+    let half = RULE.warm_after / 2.0;
+    let work = times.iter().filter(|t| **t < half).count() as f64 * (PART + CALL);
+    work / (half * (capacity(0.0) + capacity(half)) / 2.0)
+}
+
+#[test]
+fn rule_all_together_fill_a_cold_server_and_never_pass_its_limit() {
+    for aggregators in [3, 30, 300] {
+        for skew in [0.0, 1.0] {
+            for (surge, alone) in [(1.0, false), (3.0, false), (1.0, true)] {
+                let times = sent_to_cold(aggregators, skew, surge, alone);
+                let (worst, filled) = (worst_window(&times), filled(&times));
+                let of = format!("{aggregators} aggregators, skew {skew}, surge {surge}, alone {alone}");
+                println!("{of}: {worst:.2} of the limit in the worst window, filled {filled:.2}");
+                assert!(worst < 1.0, "{of}: {worst} of the limit");
+                // What a surge leaves unanswered is refused on arrival, which is another matter.
+                assert!(surge > 1.0 || filled > 0.4, "{of}: {filled} of what it can do");
+            }
+        }
+    }
+}
+
+#[test]
+fn what_a_cold_server_answers_tells_nothing_of_a_warm_one() {
+    let set = Settings { aggregators: 1, cells: 2, reach: 1, shards: 2, cold: RULE, ..ring() };
+    let mut s = Stand::new(set, 0);
+    let list = vec![Member { started: Some(0.0), ..member("cold", 0) }, member("warm", 1)];
+    s.step(5.0, vec![Event::List { kind: ListKind::Complete, members: list }]);
+    let mut answered = 0;
+    for k in 0..60 {
+        let sent = sends(&s.ask(&format!("q{k}"), &[0]));
+        answered += sent.len();
+        s.step(195.0, sent.iter().map(|t| ended(&t.0, 0, Outcome::Served, 100.0)).collect());
+    }
+    let rate = s.a.recall(s.now).served_rate;
+    assert!(
+        answered > 20 && rate < 0.1,
+        "{answered} answers of the cold one count as {rate} cores of a warm one"
+    );
+}
