Take out messages among brokers, which no deployment of ours allows

The part that told other aggregators of work out and of failures can't run: the platform bars talk among brokers, the broker dropped the action, and links between brokers, when they come, will be a package of their own that says who is owed what.

Change: the events, actions, settings and records of messages are gone; a message on the simulator's wire is passed over as the other events that nobody asked for.

--- a/crates/brookbend/src/api.rs
+++ b/crates/brookbend/src/api.rs
@@ -135,8 +135,6 @@
     pub cancel: bool,
     /// Longest retry advice that clients heed; `None` where advice does not reach them.
     pub max_retry_after: Option<Ms>,
-    /// Whether aggregators may send each other short messages.
-    pub messages: bool,
     /// Time between two batches at the least.
     pub tick: Ms,
     /// How the list of servers comes.
@@ -245,9 +243,6 @@
     NotSent,
 }
 
-/// Longest message between aggregators.
-pub const MESSAGE_BYTES: usize = 256;
-
 /// What an aggregator hears.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -278,13 +273,6 @@
     },
     /// The client has left; nothing more is owed.
     Gone(RequestId),
-    /// Another aggregator has sent a message.
-    Message {
-        /// Which aggregator, from 0.
-        from: usize,
-        /// What it sent.
-        bytes: Vec<u8>,
-    },
     /// The time asked for by [`Action::Wake`] has come.
     Woken,
 }
@@ -327,11 +315,6 @@
         /// The query.
         query: RequestId,
     },
-    /// Send all other aggregators this message, of [`MESSAGE_BYTES`] at most.
-    Tell {
-        /// What to send.
-        bytes: Vec<u8>,
-    },
     /// Ask for the changes of the list from now on.
     Watch,
     /// Send [`Event::Woken`] after this time.
--- a/crates/brookbend/src/bin/brookbend-adapter.rs
+++ b/crates/brookbend/src/bin/brookbend-adapter.rs
@@ -61,13 +61,6 @@
     }))
 }
 
-/// The bytes of hex digits; none if they are not: such a message is dropped.
-fn bytes(hex: &str) -> Option<Vec<u8>> {
-    let digits: Option<Vec<u8>> = hex.chars().map(|c| c.to_digit(16).map(|d| d as u8)).collect();
-    let digits = digits.filter(|d| d.len() % 2 == 0)?;
-    Some(digits.chunks(2).map(|pair| pair[0] << 4 | pair[1]).collect())
-}
-
 /// Requests held by a server as its load report has it; a report that is odd is as none.
 fn held(m: &Message) -> Option<f64> {
     let report = m.get("Gauge")?.as_object()?;
@@ -104,10 +97,6 @@
             json!({"t": "NotNow", "I": instance, "OpId": &*query.0, "ComeBack": back})
         }
         Action::Fail { query } => json!({"t": "FinishError", "I": instance, "OpId": &*query.0}),
-        Action::Tell { bytes } => {
-            let hex: String = bytes.iter().map(|b| format!("{b:02x}")).collect();
-            json!({"t": "WritePeer", "I": instance, "Dst": "all", "Contents": hex})
-        }
         Action::Watch => json!({"t": "KeepInformed", "I": instance, "Full": true}),
         Action::Wake { after } => json!({"t": "After", "I": instance, "Span": after, "Ref": 0}),
     }
@@ -177,12 +166,9 @@
                 load: held(m),
             }),
             "Dropped" => Some(Event::Gone(request(m)?)),
-            "Memo" => bytes(m.text("Contents")?)
-                .map(|bytes| m.whole("Who").map(|from| Event::Message { from: from as usize, bytes }))
-                .transpose()?,
             "DeadlineHit" => m.whole("Ref").map(|_| Some(Event::Woken))?,
             // Not asked for, but part of the wire.
-            "Begun" | "Probed" => None,
+            "Begun" | "Probed" | "Memo" => None,
             _ => return Err(format!("{}: the message is unknown", m.name())),
         };
         self.inbox.entry(number).or_default().extend(event);
--- a/crates/brookbend/src/choice.rs
+++ b/crates/brookbend/src/choice.rs
@@ -6,8 +6,7 @@
 use crate::api::*;
 use crate::demand::{Demand, turns_within};
 use crate::state::{
-    Desk, Dice, Fleet, Flight, Held, Learned, Patience, Piece, Server, Told, Try, Width, never_ran, short,
-    trim,
+    Desk, Dice, Fleet, Flight, Held, Learned, Patience, Piece, Server, Try, Width, never_ran, trim,
 };
 use std::collections::VecDeque;
 
@@ -107,14 +106,6 @@
 const REPLY_TICKS: f64 = 2.0;
 /// After so many aims without an answer, one that answers again is taken for just started.
 const COLD_SILENCE: f64 = 2.5;
-/// What changed at a server without a send is told after this share of the aim, several at once.
-const TELL_AIM: f64 = 0.06;
-/// Work is told in steps of this share of the aim.
-const TELL_STEP: f64 = 1.0 / 128.0;
-/// Told in place of work: attempts here have just failed.
-const FAILING: u8 = 255;
-/// What another told counts for so many seconds: it may have died, and its next message may be lost.
-const TOLD_SECONDS: f64 = 1.5;
 /// Reported work drains by this share of the server's pace: about half of what leaves is made up by new work.
 const DRAIN: f64 = 0.5;
 /// First and longest wait before the list is asked again, as shares of the time after which we count as told.
@@ -146,7 +137,6 @@
     ask_wait: Ms,
     /// When the next batch is due.
     wake_at: Ms,
-    told_at: Ms,
 }
 
 impl Aggregator {
@@ -169,7 +159,6 @@
             ask_at: (set.list == ListSource::OnRequest).then_some(f64::NEG_INFINITY),
             ask_wait: set.ask_within.min(set.cold.warm_after) * ASK.0,
             wake_at: f64::INFINITY,
-            told_at: f64::NEG_INFINITY,
             set,
         }
     }
@@ -188,7 +177,6 @@
                     self.ended(part, attempt, outcome, elapsed, load)
                 }
                 Event::Gone(id) => self.desk.queries.remove(&id).iter().for_each(|q| self.forget(q)),
-                Event::Message { from, bytes } => self.hear_others(from, &bytes),
                 Event::Woken => self.wake_at = f64::INFINITY,
             }
         }
@@ -204,7 +192,6 @@
                 self.desk.queries.insert(id, query);
             }
         }
-        self.tell_others();
         self.set_wake();
         std::mem::take(&mut self.out)
     }
@@ -578,8 +565,6 @@
         let within = (end < q.give_up_at).then_some((end - self.now).max(self.set.tick));
         let s = &mut self.fleet.servers[server];
         s.work_out += work;
-        self.desk.untold.insert(server);
-        self.desk.tell_at = self.now;
         s.bundled += 1;
         s.flying.push((self.now, expected));
         if s.cold_since.is_some() {
@@ -800,17 +785,16 @@
         s.reported = ((others * self.learned[f.class].unit).min(most), self.now);
     }
 
-    /// Work of others at a server, as told and as reported.
+    /// Work of others at a server, as reported.
     fn others(&self, s: &Server) -> Ms {
         let drained = DRAIN * (self.now - s.reported.1) / s.pace.max(NEWS);
-        s.others + (s.reported.0 - drained).max(0.0)
+        (s.reported.0 - drained).max(0.0)
     }
 
     pub(crate) fn landed(&mut self, f: &Flight, outcome: Outcome, elapsed: Ms) {
         let elapsed = if elapsed.is_finite() { elapsed.max(0.0) } else { self.now - f.sent };
         let aim = self.set.shortest_aim();
         let jitter = 0.75 + 0.5 * self.dice.random();
-        self.desk.untold.insert(f.server);
         let s = &mut self.fleet.servers[f.server];
         s.work_out = (s.work_out - f.work).max(0.0);
         if let Some(k) = s.flying.iter().position(|(sent, e)| *sent == f.sent && *e == f.expected) {
@@ -922,17 +906,14 @@
         let even = most * share;
         let from = self.now - rule.fall_after;
         let sent: Ms = s.cold_sends.iter().filter(|(t, _)| *t >= from).map(|(_, w)| w).sum();
-        // An even part of less than one part's work is a turn: by chance, drawn anew each second, or where
-        // messages show that what is out there already leaves room, beside what it can do in the window. A
+        // An even part of less than one part's work is a turn, by chance that is drawn anew each second. A
         // turn is lost where no part is there to take it, so that the chance grows as those are rare: over
         // all aggregators, demand times chance then sums up to the turns meant, however many they are.
-        let spare = (rule.fall_multiple - 1.0) * capacity * rule.fall_after;
-        let told = self.told_at > self.now - SECOND && s.others + work <= spare;
         let held = (!self.warm_beside(s)).then(|| self.set.longest_wait() / SECOND);
         let demand = self.desk.demand.of_one(s.cell, self.set.reach, held);
         let turns = turns_within(most / (COLD_SAFE * work.max(1.0)), COLD_SCATTER) / COLD_SURGE;
         let turn = turns * share * SECOND / (rule.fall_after * demand);
-        sent + work <= even || (sent == 0.0 && (told || s.lot < turn))
+        sent + work <= even || (sent == 0.0 && s.lot < turn)
     }
 
     /// Whether a warm server that may be sent to holds what this one does.
@@ -941,53 +922,6 @@
         self.fleet.rows.of(s.cell).iter().any(warm)
     }
 
-    // ---- what the other aggregators have out, where messages are allowed
-
-    /// Tells the others this one's work out at each server where it changed: each sees a small part of the
-    /// traffic, and a server that others have filled looks idle. Sums, not changes: the next message makes up
-    /// for a lost one.
-    fn tell_others(&mut self) {
-        if !self.set.messages || self.desk.untold.is_empty() || self.now < self.desk.tell_at {
-            return;
-        }
-        self.desk.tell_at = self.now + TELL_AIM * self.set.shortest_aim();
-        let step = TELL_STEP * self.set.shortest_aim();
-        let mut bytes = Vec::new();
-        for i in std::mem::take(&mut self.desk.untold) {
-            let s = &self.fleet.servers[i];
-            bytes.extend(short(&s.node));
-            let failing = s.went_silent && self.now < s.shun_until;
-            bytes.push(if failing { FAILING } else { (s.work_out / step).round().min(254.0) as u8 });
-        }
-        for part in bytes.chunks(MESSAGE_BYTES / 3 * 3) {
-            self.out.push(Action::Tell { bytes: part.to_vec() });
-        }
-    }
-
-    fn hear_others(&mut self, from: usize, bytes: &[u8]) {
-        if from >= self.set.aggregators || bytes.is_empty() || !bytes.len().is_multiple_of(3) {
-            return;
-        }
-        self.told_at = self.now;
-        let step = TELL_STEP * self.set.shortest_aim();
-        let hold = EJECT_FIRST * self.set.shortest_aim() * (0.75 + 0.5 * self.dice.random());
-        for entry in bytes.chunks(3) {
-            let Some(&i) = self.fleet.by_short.get(&[entry[0], entry[1]]) else { continue };
-            let s = &mut self.fleet.servers[i];
-            let failing = entry[2] == FAILING;
-            let work = if failing { 0.0 } else { f64::from(entry[2]) * step };
-            let before = s.hear_told(from, Told { work, failing, at: self.now });
-            // A warning only: an answer of our own that is as new outweighs it, and it ends with its time.
-            if failing && s.last_served_sent < self.now - hold {
-                s.shun_until = s.shun_until.max(self.now + hold);
-            } else if before.failing && !failing {
-                // It answered again: with all holding off till now, all would come back to it at once.
-                s.shun_until = s.shun_until.min(self.now);
-                s.pace = s.pace.max(self.fleet_pace / self.set.cold.from.max(NEWS));
-            }
-        }
-    }
-
     // ---- once a second: the width loop and the fleet's pace
 
     fn each_second(&mut self) {
@@ -1015,10 +949,7 @@
             if s.flying.is_empty() {
                 s.errors *= 1.0 - FORGET;
             }
-            let heard = self.now - TOLD_SECONDS * SECOND;
             (s.lot, s.wished) = (self.dice.random(), false);
-            s.told_by.retain(|_, t| t.at > heard);
-            s.others = s.told_by.values().map(|t| t.work).sum();
             let window = self.now - self.set.cold.fall_after;
             s.cold_sends.retain(|(t, _)| *t >= window);
             s.cold_since = s.cold_since.filter(|c| c + self.set.cold.warm_after > self.now);
@@ -1028,8 +959,6 @@
         if warm > 0 {
             self.desk.served_rate += NEWS * (served - self.desk.served_rate);
         }
-        let out = self.fleet.servers.iter().enumerate().filter(|(_, s)| s.work_out > 0.0);
-        self.desk.untold.extend(out.map(|(i, _)| i));
         self.forget_gone();
         self.budget_left(); // forgets what is past its window
     }
@@ -1038,8 +967,6 @@
     fn forget_gone(&mut self) {
         let in_use = self.desk.servers();
         self.fleet.forget_gone(self.now - self.set.cold.warm_after, |i| in_use.contains(&i));
-        let names = &self.fleet.by_name;
-        self.desk.untold.retain(|i| names.values().any(|known| known == i));
     }
 
     /// One PD step on the share of calls that ended full or timed out; an empty second changes nothing.
--- a/crates/brookbend/src/lib.rs
+++ b/crates/brookbend/src/lib.rs
@@ -17,7 +17,7 @@
 //! let settings = Settings {
 //!     classes: vec![class], tenants: vec![], aggregators: 2, zone: None, over_share_worth: 1.0, worth_by_work: false, marks_again: false,
 //!     cells: 3, reach: 2, shards: 3, batch: 8, call_work: 10.0, max_attempts: 3,
-//!     second_copies: true, cancel: true, max_retry_after: Some(500.0), messages: false, tick: 5.0,
+//!     second_copies: true, cancel: true, max_retry_after: Some(500.0), tick: 5.0,
 //!     list: ListSource::Pushed, ask_within: 10_000.0, budget: None,
 //!     cold: ColdRule { from: 0.2, warm_after: 10_000.0, fall_multiple: 2.0, fall_after: 2000.0 },
 //! };
--- a/crates/brookbend/src/settings.rs
+++ b/crates/brookbend/src/settings.rs
@@ -230,7 +230,6 @@
         } else {
             None
         },
-        messages: allowed.flag("Peers")?,
         tick: env.number("Tick")?,
         list,
         ask_within: rules.opt_number("AskWithin")?.unwrap_or(f64::INFINITY),
--- a/crates/brookbend/src/state.rs
+++ b/crates/brookbend/src/state.rs
@@ -36,13 +36,10 @@
     pub(crate) wished: bool,
     /// Parts sent in this batch: they share calls.
     pub(crate) bundled: usize,
-    /// Work that others told they have out here, in all, and what each told last.
-    pub(crate) others: Ms,
     /// Work of others that its own last report shows, and when that first came.
     pub(crate) reported: (Ms, Ms),
     /// What that report said it holds.
     pub(crate) held: f64,
-    pub(crate) told_by: BTreeMap<usize, Told>,
 }
 
 /// What one class has met at a server.
@@ -52,14 +49,6 @@
     pub(crate) last_served_sent: Ms,
 }
 
-/// What another aggregator told of a server.
-#[derive(Clone, Copy, Default)]
-pub(crate) struct Told {
-    pub(crate) work: Ms,
-    pub(crate) failing: bool,
-    pub(crate) at: Ms,
-}
-
 pub(crate) struct Try {
     pub(crate) server: usize,
     pub(crate) sent: Ms,
@@ -128,9 +117,6 @@
     pub(crate) served_rate: f64,
     /// How often parts want a server.
     pub(crate) demand: Demand,
-    /// Servers whose work out has changed since the others were told, and when they may be told next.
-    pub(crate) untold: BTreeSet<usize>,
-    pub(crate) tell_at: Ms,
     /// Whether this aggregator stood still before this batch.
     pub(crate) stood: bool,
 }
@@ -187,13 +173,6 @@
 }
 
 impl Server {
-    /// Puts what another told in place of what it told before, and returns that.
-    pub(crate) fn hear_told(&mut self, from: usize, told: Told) -> Told {
-        let before = self.told_by.insert(from, told).unwrap_or_default();
-        self.others = (self.others + told.work - before.work).max(0.0);
-        before
-    }
-
     /// Whether it serves, and has for long enough.
     pub(crate) fn warm(&self) -> bool {
         self.state == NodeState::Serving && self.cold_since.is_none()
@@ -222,10 +201,8 @@
             lot: 1.0,
             wished: false,
             bundled: 0,
-            others: 0.0,
             reported: (0.0, f64::NEG_INFINITY),
             held: f64::NAN,
-            told_by: BTreeMap::new(),
         }
     }
 }
@@ -263,7 +240,6 @@
     /// Places in `servers` whose server is forgotten: the next new one takes one.
     pub(crate) free: Vec<usize>,
     pub(crate) by_name: BTreeMap<NodeId, usize>,
-    pub(crate) by_short: BTreeMap<[u8; 2], usize>,
     pub(crate) rows: Rows,
     /// By zone: the share of attempts that met silence.
     pub(crate) silence: BTreeMap<usize, f64>,
@@ -277,7 +253,6 @@
             None => {
                 let i = self.free.pop().unwrap_or(self.servers.len());
                 self.by_name.insert(node.clone(), i);
-                self.by_short.insert(short(&node), i);
                 let server = Server::new(node, pace);
                 if i == self.servers.len() {
                     self.servers.push(server)
@@ -296,7 +271,6 @@
         let gone = |i: usize| servers[i].state == NodeState::Gone && servers[i].heard < unheard && !in_use(i);
         let forgotten: Vec<usize> = self.by_name.values().copied().filter(|i| gone(*i)).collect();
         self.by_name.retain(|_, i| !forgotten.contains(i));
-        self.by_short.retain(|_, i| !forgotten.contains(i));
         self.free.extend(forgotten);
     }
 
@@ -307,13 +281,6 @@
     }
 }
 
-/// A short name of a server for messages: two servers may share one, which only blurs the hint.
-pub(crate) fn short(node: &NodeId) -> [u8; 2] {
-    let mix = |h: u32, b: u8| (h ^ u32::from(b)).wrapping_mul(0x0100_0193);
-    let h = node.0.bytes().fold(0x811c_9dc5, mix);
-    ((h >> 16) as u16 ^ h as u16).to_be_bytes()
-}
-
 /// A seeded source of chance.
 pub(crate) struct Dice(Pcg64Mcg);
 
--- a/crates/brookbend/src/view.rs
+++ b/crates/brookbend/src/view.rs
@@ -128,7 +128,6 @@
             second_copies: false,
             cancel: true,
             max_retry_after: None,
-            messages: false,
             tick: 5.0,
             list: ListSource::Pushed,
             ask_within: 10_000.0,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -421,7 +421,7 @@
                 Action::Fail { query } => self.finish(&mut decisions, &query, Verdict::Fail),
                 Action::Wake { after } => self.wake_at = Some(now + millis(after)),
                 // Brokers share only the network, and the list is always watched.
-                Action::Tell { .. } | Action::Watch => {}
+                Action::Watch => {}
             }
         }
         decisions
