Leave out parts that a query can do without while all holders are behind

Change: a part of a class whose floor is under its need is left out while no holder may be sent to and forecasts an answer within an eighth of the aim, up to the weight that the floor gives; it goes out if that changes before the others are in.

--- a/crates/brookbend/src/choice.rs
+++ b/crates/brookbend/src/choice.rs
@@ -86,6 +86,9 @@
 const LAG_AIM: f64 = 0.45;
 /// So many attempts of a query that broke their connections make it suspect: one may be chance.
 const SPOILED: usize = 2;
+/// A part that a query can do without is left out while its holders all forecast more than this share of the
+/// aim: else the queries with most parts keep filling the cells that lost servers, for those that need them.
+const LEAVE_AIM: f64 = 0.12;
 /// Most of the aim that is kept for a second step, whatever it took of late: the first has more parts.
 const SECOND_AIM: f64 = 0.5;
 /// A refused client is asked back after this share of what is left of its aim: late enough for a queue to
@@ -300,6 +303,7 @@
             tries: Vec::new(),
             served: false,
             reserve: false,
+            left: false,
         });
     }
 
@@ -457,6 +461,25 @@
         }
     }
 
+    /// Whether a part is left out for now: an answer may be given without it, and its holders are all behind.
+    /// The parts that were first keep the room that the floor gives, so that a query does not waver.
+    fn leaves(&self, q: &Held, i: usize) -> bool {
+        let class = &self.set.classes[q.class];
+        let spare = if q.step_from == 0 { class.need - class.floor } else { 0.0 };
+        let over = |p: &Piece| !p.served && p.tries.len() as u32 >= q.max_attempts;
+        spare > ROUNDING && self.behind(q, i) && {
+            let without = q.pieces.iter().enumerate().filter(|(j, p)| *j == i || p.left || over(p));
+            without.map(|(_, p)| p.weight).sum::<f64>() <= spare + ROUNDING
+        }
+    }
+
+    /// Whether no holder of a part's shard may be sent to and forecasts an answer soon.
+    fn behind(&self, q: &Held, i: usize) -> bool {
+        let (work, soon) = (self.work(q, i), LEAVE_AIM * self.set.classes[q.class].aim);
+        let holders = self.fleet.rows.of(q.pieces[i].shard).iter();
+        !holders.copied().any(|s| self.fit(s, work) && self.forecast(s, q.class, work) <= soon)
+    }
+
     // ---- attempts
 
     /// Sends a part's first attempt, a retry of a failed one, or a second copy of an overdue one.
@@ -465,6 +488,12 @@
         if piece.served || piece.tries.len() as u32 >= q.max_attempts {
             return;
         }
+        let idle = piece.tries.last().is_none_or(|t| t.outcome.is_some());
+        q.pieces[i].left = idle && self.leaves(q, i);
+        let piece = &q.pieces[i];
+        if piece.left {
+            return;
+        }
         if piece.tries.is_empty() {
             if piece.reserve && !q.pieces.iter().any(|p| self.troubled(q, p)) {
                 return;
@@ -629,7 +658,8 @@
         // Once the aim is reached, waiting is worth less where the rest cannot come or earns less by then;
         // before, each part that may still come adds to its share.
         let enough = aim_over && (!can_be_whole || partial_worth >= class.late_worth);
-        if floor && (second_at >= q.give_up_at || enough || possible <= have + ROUNDING) {
+        let coming = sum(&|p| p.served || (!p.left && self.alive(q, p, spoiled)));
+        if floor && (second_at >= q.give_up_at || enough || coming <= have + ROUNDING) {
             return self.answer(id, q, false);
         }
         // Between a first answer and the parts of the second step there is nothing to give up yet.
@@ -723,7 +753,8 @@
             total += work;
             let holders = self.fleet.rows.of(q.pieces[i].shard).iter();
             let best = holders.map(|s| self.forecast(*s, q.class, work)).fold(f64::INFINITY, f64::min);
-            if best.is_finite() {
+            q.pieces[i].left = self.leaves(q, i);
+            if best.is_finite() && !q.pieces[i].left {
                 mean += best / q.pieces.len() as f64;
                 slowest = slowest.max(best);
             }
--- a/crates/brookbend/src/state.rs
+++ b/crates/brookbend/src/state.rs
@@ -67,6 +67,8 @@
     pub(crate) served: bool,
     /// An any-k class can do without it for now.
     pub(crate) reserve: bool,
+    /// The answer can do without it, and its holders are behind.
+    pub(crate) left: bool,
 }
 
 #[derive(Default)]
