--- a/crates/brookbend/src/choice.rs
+++ b/crates/brookbend/src/choice.rs
@@ -89,6 +89,11 @@
 /// A part that a query can do without is left out while its holders all forecast more than this share of the
 /// aim: else the queries with most parts keep filling the cells that lost servers, for those that need them.
 const LEAVE_AIM: f64 = 0.12;
+/// And more than so many times what is usual; the second for one not heard within an aim: where each
+/// aggregator is one of many, such a server is filled unseen.
+const LEAVE_USUAL: (f64, f64) = (3.0, 1.0);
+/// So long, in shares of the aim, an answer waits for parts that are left out.
+const LEAVE_WAIT: f64 = 0.5;
 /// Most of the aim that is kept for a second step, whatever it took of late: the first has more parts.
 const SECOND_AIM: f64 = 0.5;
 /// A refused client is asked back after this share of what is left of its aim: late enough for a queue to
@@ -475,9 +480,14 @@
 
     /// Whether no holder of a part's shard may be sent to and forecasts an answer soon.
     fn behind(&self, q: &Held, i: usize) -> bool {
-        let (work, soon) = (self.work(q, i), LEAVE_AIM * self.set.classes[q.class].aim);
-        let holders = self.fleet.rows.of(q.pieces[i].shard).iter();
-        !holders.copied().any(|s| self.fit(s, work) && self.forecast(s, q.class, work) <= soon)
+        let (work, aim) = (self.work(q, i), self.set.classes[q.class].aim);
+        let usual = self.fleet_pace * (work + self.set.call_work);
+        let soon = |s: usize| {
+            let heard = self.fleet.servers[s].heard > self.now - aim;
+            let times = if heard { LEAVE_USUAL.0 } else { LEAVE_USUAL.1 };
+            self.fit(s, work) && self.forecast(s, q.class, work) <= (LEAVE_AIM * aim).max(times * usual)
+        };
+        !self.fleet.rows.of(q.pieces[i].shard).iter().copied().any(soon)
     }
 
     // ---- attempts
@@ -658,7 +668,8 @@
         // Once the aim is reached, waiting is worth less where the rest cannot come or earns less by then;
         // before, each part that may still come adds to its share.
         let enough = aim_over && (!can_be_whole || partial_worth >= class.late_worth);
-        let coming = sum(&|p| p.served || (!p.left && self.alive(q, p, spoiled)));
+        let waits = self.now < q.asked + LEAVE_WAIT * class.aim;
+        let coming = sum(&|p| p.served || ((waits || !p.left) && self.alive(q, p, spoiled)));
         if floor && (second_at >= q.give_up_at || enough || coming <= have + ROUNDING) {
             return self.answer(id, q, false);
         }
