Call off a last part at a server that has said nothing since, at the worth of what is in

Checked and ruled out: our own budget of further attempts (2 to 5 of 9 used in most), cold servers without room, ejected holders; forecasts that are wrong (60 to 100 ms forecast: 37 ms at the median). Faulty line: `forecast > CALL_OFF_AIM * aim` in `run_piece`. With an aim of 380 ms it lets go only where another forecasts 57 ms, while a usual holder forecasts 60 to 110; `soon` then waits for twice that forecast more.

Change: where nothing was heard from a server since the attempt went out, it is rather lost than slow: it is called off once overdue if another may come within the time left, times the share of parts that are in, which waiting would lose. Also, an attempt whose server has answered later ones was lost alone, and another may go to the same server.

--- a/crates/brookbend/src/choice.rs
+++ b/crates/brookbend/src/choice.rs
@@ -528,15 +528,25 @@
         // A copy must come in time to count, and the overdue one be late by more than a copy takes: on a busy
         // fleet copies then wait, on an idle one they go soon.
         let piece = &q.pieces[i];
-        let same = piece.tries.iter().any(|t| t.server == s && t.outcome.is_none());
-        let soon = age <= expected.min(forecast) + COPY * forecast;
+        let newest = &piece.tries[piece.tries.len() - 1];
+        let there = &self.fleet.servers[newest.server];
+        // What was sent later is answered: this attempt was lost alone, and another may go there.
+        let alone = there.last_served_sent > newest.sent;
+        let same = out && newest.server == s && !alone;
+        // Nothing was heard from there since: rather lost than slow.
+        let lost = there.heard < newest.sent && !self.set.second_copies;
+        let soon = !lost && age <= expected.min(forecast) + COPY * forecast;
         if out && (same || soon || !self.fit(s, 0.0) || self.now + forecast > self.useful_end(q)) {
             return;
         }
         if out && !self.set.second_copies {
-            // What is merely slow has most of its work behind it, which would be lost.
+            // What is merely slow has most of its work behind it, which would be lost. To wait for what is lost
+            // costs all parts that are in: the more of them, the longer another may take.
             let aim = self.set.classes[q.class].aim;
-            if age <= (OVERDUE * expected).min(CALL_OFF_LATE * aim) || forecast > CALL_OFF_AIM * aim {
+            let served = q.pieces.iter().filter(|p| p.served).count() as f64 / q.pieces.len() as f64;
+            let pays = if lost { served * (q.asked + aim - self.now) } else { 0.0 };
+            if age <= (OVERDUE * expected).min(CALL_OFF_LATE * aim) || forecast > pays.max(CALL_OFF_AIM * aim)
+            {
                 return;
             }
             // One attempt at most may be out: this one is called off, and once that is reported another goes.
