--- a/crates/brookbend/src/choice.rs
+++ b/crates/brookbend/src/choice.rs
@@ -534,8 +534,8 @@
         let alone = there.last_served_sent > newest.sent;
         let same = out && newest.server == s && !alone;
         // Nothing was heard from there since: rather lost than slow.
-        let lost = there.heard < newest.sent && !self.set.second_copies;
-        let soon = !lost && age <= expected.min(forecast) + COPY * forecast;
+        let lost = there.heard < newest.sent;
+        let soon = age <= expected.min(forecast) + COPY * forecast;
         if out && (same || soon || !self.fit(s, 0.0) || self.now + forecast > self.useful_end(q)) {
             return;
         }
@@ -545,8 +545,8 @@
             let aim = self.set.classes[q.class].aim;
             let served = q.pieces.iter().filter(|p| p.served).count() as f64 / q.pieces.len() as f64;
             let pays = if lost { served * (q.asked + aim - self.now) } else { 0.0 };
-            if age <= (OVERDUE * expected).min(CALL_OFF_LATE * aim) || forecast > pays.max(CALL_OFF_AIM * aim)
-            {
+            let early = age <= (OVERDUE * expected).min(CALL_OFF_LATE * aim);
+            if early || forecast > pays.max(CALL_OFF_AIM * aim) {
                 return;
             }
             // One attempt at most may be out: this one is called off, and once that is reported another goes.
--- a/crates/brookbend/tests/lost_alone.rs
+++ b/crates/brookbend/tests/lost_alone.rs
@@ -12,7 +12,7 @@
     let mut s = Stand::new(set, 2);
     for k in 0..160 {
         let parts = sends(&s.ask(&format!("before{k}"), &[k % 4]));
-        s.step(180.0, parts.iter().map(|p| ended(&p.0, 0, Outcome::Served, 180.0)).collect());
+        s.step(160.0, parts.iter().map(|p| ended(&p.0, 0, Outcome::Served, 160.0)).collect());
     }
     s
 }
@@ -27,9 +27,10 @@
     let mut s = slow_fleet();
     let sent = sends(&s.ask("q", &[0, 1, 2, 3]));
     assert_eq!(sent.len(), 4);
-    let ends = sent[1..].iter().map(|p| ended(&p.0, 0, Outcome::Served, 180.0)).collect();
-    s.step(180.0, ends);
-    assert!(called_off(&mut s, 40).is_some(), "it would cost the three that are in");
+    let ends = sent[1..].iter().map(|p| ended(&p.0, 0, Outcome::Served, 160.0)).collect();
+    s.step(160.0, ends);
+    let after = called_off(&mut s, 70).expect("it would cost the three that are in");
+    assert!(160 + 10 * after > 450, "not before another would have been twice as quick: {after}");
     let again = sends(&s.step(5.0, vec![ended(&sent[0].0, 0, Outcome::Cancelled, 420.0)]));
     assert_eq!(again.len(), 1);
     assert_ne!(again[0].1, sent[0].1);
@@ -50,7 +51,7 @@
     let older: Vec<_> = (0..2).flat_map(|k| sends(&s.ask(&format!("older{k}"), &[0]))).collect();
     let sent = sends(&s.ask("q", &[0, 1, 2, 3]));
     assert!(older.iter().any(|o| o.1 == sent[0].1), "{older:?} {sent:?}");
-    let ends = older.iter().chain(&sent[1..]).map(|p| ended(&p.0, 0, Outcome::Served, 180.0)).collect();
-    s.step(180.0, ends);
-    assert_eq!(called_off(&mut s, 40), None);
+    let ends = older.iter().chain(&sent[1..]).map(|p| ended(&p.0, 0, Outcome::Served, 160.0)).collect();
+    s.step(160.0, ends);
+    assert_eq!(called_off(&mut s, 70), None);
 }
