--- a/crates/brookbend/src/choice.rs
+++ b/crates/brookbend/src/choice.rs
@@ -540,8 +540,8 @@
             return;
         }
         if out && !self.set.second_copies {
-            // What is merely slow has most of its work behind it, which would be lost. To wait for what is lost
-            // costs all parts that are in: the more of them, the longer another may take.
+            // What is merely slow has most of its work behind it, which would be lost. To wait for
+            // what is lost costs all parts that are in: the more of them, the longer another may take.
             let aim = self.set.classes[q.class].aim;
             let served = q.pieces.iter().filter(|p| p.served).count() as f64 / q.pieces.len() as f64;
             let pays = if lost { served * (q.asked + aim - self.now) } else { 0.0 };
