Come back in steps where the operator's file says how many brokers there are

Change: with `come-back-fleet` a broker asks for the whole list at the fleet's pace, refuses queries at once and is not ready until it has one (or `come-back-ask` is over and one is remembered), waits its moment in `come-back-spread`, and lets in a share that grows with queries that end well. A line a phase in the log, the phase at the door and in the figures. A file whose brokers could not all ask in time is refused with the figure that would do. Off unless set.

Not measured yet: time to full service.

--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`turns`] runs the turns; [`front`] serves the clients, [`upstream`] the connections to data servers. They, and the
 //! watch of the list of these, tell the turns what happened through the [`inbox`].
 
+mod coming;
 pub mod front;
 pub mod inbox;
 mod neighbours;
--- a/crates/broker/src/queries.rs
+++ b/crates/broker/src/queries.rs
@@ -220,6 +220,15 @@
         self.pending.is_empty()
     }
 
+    /// Refuses a query at once, while this broker comes back.
+    pub(crate) fn turn_away(&mut self, ask: &Ask, reply: &Sender<Reply>) {
+        let row = self.rows[ask.class];
+        self.books.take(row);
+        self.books.end(row, End::Declined);
+        // A client that has just gone needs none.
+        let _ = reply.try_send(Reply::Refused { retry_after: self.max_retry_after });
+    }
+
     /// Takes up a query, or answers it at once: `None`.
     pub(crate) fn admit(
         &mut self,
--- a/crates/broker/src/turns.rs
+++ b/crates/broker/src/turns.rs
@@ -1,5 +1,6 @@
 //! The turn loop: takes what the sockets brought, asks the decisions, and carries them out.
 
+use crate::coming;
 use crate::front::{Fronts, Plan, Shared};
 use crate::inbox::{Inbox, Input};
 use crate::neighbours::Sockets;
@@ -28,6 +29,7 @@
 use plover_ops::{Call, Census, Effect, Life, Stage};
 use plover_pacing::Pacing;
 use plover_query::{BINDS, Terms};
+use plover_recovery::Coming;
 use plover_runtime::clock::Clock;
 use plover_runtime::net;
 use std::collections::{BTreeMap, BTreeSet};
@@ -51,7 +53,7 @@
     operator: Operator,
     /// What the platform gives to client connections.
     clients: Given,
-    core: Core,
+    pub(crate) core: Core,
     upstream: Upstream,
     discovery: Discovery,
     inbox: Rc<Inbox>,
@@ -67,7 +69,9 @@
     rev: u64,
     /// Queries that wait until a process that has just come has said who it is.
     put_off: Vec<Asked>,
-    life: Life,
+    pub(crate) life: Life,
+    /// Its way back, where that is paced.
+    pub(crate) coming: Option<Coming>,
     /// Files taken and turned down at SIGHUP.
     sighup: (u64, u64),
 }
@@ -143,6 +147,7 @@
         let quarantine = quarantine(&config.settings);
         Sockets::start(directory, &config.name, clock, quarantine, executor.clone(), inbox.clone())
     });
+    let come_back = operator.settings().come_back;
     let mut broker = Broker {
         clock,
         zones: config.names.zones.clone(),
@@ -160,7 +165,14 @@
         ),
         core: Core::new(config.settings, config.max_open, config.seed).named(&config.names),
         upstream: Upstream::new(executor.clone(), inbox.clone(), config.pool),
-        discovery: Discovery::start(executor.clone(), list, config.discovery, Some(rev)),
+        discovery: Discovery::start(
+            executor.clone(),
+            list,
+            config.discovery,
+            // What is remembered may be a day old: then the whole list is asked for.
+            come_back.is_none().then_some(rev),
+            come_back.map(|c| coming::budget(c, config.seed)),
+        ),
         inbox,
         fronts: Fronts::start(shared, plan, clock, executor.clone()),
         dispatches: BTreeMap::new(),
@@ -170,9 +182,11 @@
         rev,
         put_off: Vec::new(),
         life: Life::Serving,
+        coming: come_back.map(|c| coming::begin(clock.now(), c, config.seed)),
         sighup: (0, 0),
     };
     broker.learn(clock.now(), ListScope::Known, &config.known);
+    broker.go(Effect::Go(Stage::Serving));
     broker.settle();
     info!(name: "started", name = %config.name, listen = %listen, rev);
     if let (Some(listen), Some(held)) = (listen_http2, limits.http2) {
@@ -212,7 +226,9 @@
             let put_off = (!self.put_off.is_empty()).then_some(now);
             let beside = self.beside.as_ref().and_then(|s| s.due(now));
             let core = Some(self.core.due());
-            let due = [core, Some(self.upstream.due()), self.life.due(), closing, ended, put_off, beside];
+            let coming = self.coming.as_ref().and_then(|c| c.due(self.core.census(now).0 > 0));
+            let due =
+                [core, Some(self.upstream.due()), self.life.due(), closing, ended, put_off, beside, coming];
             let due = due.into_iter().flatten().min().unwrap_or(Micros::MAX);
             self.pause(now, due).await;
         }
@@ -258,7 +274,12 @@
                     self.queries.gone(now, id);
                 }
                 Input::Line(id, event) => self.upstream.hear(now, id, event),
-                Input::Targets(targets) => self.learn(now, targets.scope(), &targets),
+                Input::Targets(targets) => {
+                    self.learn(now, targets.scope(), &targets);
+                    if let Some(coming) = self.coming.as_mut().filter(|_| targets.all) {
+                        coming.list_came();
+                    }
+                }
                 Input::Reload => self.reload(now),
                 Input::Terminate => self.terminate(now),
                 // Heard above, with all that others had to say.
@@ -266,6 +287,7 @@
                 Input::Operator(call, answer) => calls.push((call, answer)),
             }
         }
+        self.come_back(now);
         let reports = self.take_reports(now);
         let decisions = self.core.report(now, reports);
         self.carry_out(now, decisions);
@@ -293,7 +315,9 @@
         self.core.set_elsewhere(neighbours.map_or(0, Neighbours::units));
         let mut queries = Vec::new();
         for (id, connection, ask, reply) in asks {
-            if soon && ask.key.is_some() {
+            if !self.coming.as_mut().is_none_or(Coming::admits) {
+                self.queries.turn_away(&ask, &reply);
+            } else if soon && ask.key.is_some() {
                 self.put_off.push((id, connection, ask, reply));
             } else {
                 queries.extend(self.queries.admit(now, id, connection, ask, reply, beside));
@@ -344,7 +368,12 @@
     fn take_news(&mut self, now: Micros, news: Vec<News>) {
         for news in news {
             match news {
-                News::Recall(recall) => self.remember(now, &recall),
+                News::Recall(recall) => {
+                    // One of its processes serves: it is not coming back, and begins with what that knew.
+                    self.coming = None;
+                    self.go(Effect::Go(Stage::Serving));
+                    self.remember(now, &recall);
+                }
                 News::Key(word) => self.queries.hear(now, word),
                 News::Joined(older) => info!(name: "hand_over_joined", older),
                 News::Gone => {}
@@ -405,9 +434,12 @@
     /// Heeds an operator's call: a status, and a text.
     fn operate(&mut self, now: Micros, call: Call) -> (u16, String) {
         let changed = match call {
-            Call::Ready => {
-                return (if self.life.is_ready() { 200 } else { 503 }, self.life.name().to_owned());
-            }
+            Call::Ready => match &self.coming {
+                Some(coming) if self.life.is_ready() && !coming.is_open() => {
+                    return (503, format!("coming back: {}", coming.phase().name()));
+                }
+                _ => return (if self.life.is_ready() { 200 } else { 503 }, self.life.name().to_owned()),
+            },
             Call::Telemetry => return (200, self.queries.figures(&self.census(now))),
             Call::Evacuate => self.life.evacuate(now),
             Call::Rejoin => self.life.rejoin(),
@@ -424,16 +456,19 @@
     fn census(&self, now: Micros) -> Census {
         let (discovered, ejected) = self.core.census(now);
         let (applied, rejected) = self.sighup;
-        Census { forwards: self.upstream.forwards(), discovered, ejected, applied, rejected }
+        let phase = self.coming.as_ref().map(|coming| coming.phase().place());
+        Census { forwards: self.upstream.forwards(), discovered, ejected, applied, rejected, phase }
     }
 
     /// What a change of life asks of the fronts. Those that close their doors wait for what the system has accepted,
     /// which the loop does between two turns.
-    fn go(&mut self, effect: Effect) {
-        if let Effect::Go(stage) = effect
-            && stage != Stage::Closing
-        {
-            self.fronts.go(stage);
+    pub(crate) fn go(&mut self, effect: Effect) {
+        // One that lets nothing in yet is not ready, but what comes all the same is answered.
+        let shut = self.coming.as_ref().is_some_and(|coming| !coming.is_open());
+        match effect {
+            Effect::Go(Stage::Closing) | Effect::None => {}
+            Effect::Go(Stage::Serving) if shut => self.fronts.go(Stage::Leaving),
+            Effect::Go(stage) => self.fronts.go(stage),
         }
     }
 
@@ -545,6 +580,9 @@
     }
 
     fn finish(&mut self, now: Micros, query: QueryId, verdict: Verdict) {
+        if let Some(coming) = &mut self.coming {
+            coming.ended(now, matches!(verdict, Verdict::Answer { .. }));
+        }
         self.queries.finish(now, query, |values| match verdict {
             Verdict::Refuse { retry_after } => Reply::Refused { retry_after },
             Verdict::Fail => Reply::Failed,
--- a/crates/brookbend/tests/cold_turns.rs
+++ b/crates/brookbend/tests/cold_turns.rs
@@ -97,7 +97,7 @@
                     times.push(at - start);
                 }
                 // Servers answer no more than they can do.
-                if at < start || node > "c".to_string() || chance.random() < 1.0 / (LOAD * surge) {
+                if at < start || node.as_str() > "c" || chance.random() < 1.0 / (LOAD * surge) {
                     out.push((at + ANSWER, part));
                 }
             }
--- a/crates/control/src/roster.rs
+++ b/crates/control/src/roster.rs
@@ -22,7 +22,7 @@
         let thread = std::thread::Builder::new().name("roster".to_owned()).spawn(move || {
             let executor = Rc::new(LocalExecutor::new());
             let sink: Sink = Rc::new(move |targets| hub.tell_blocking(Event::List(targets)));
-            let _watch = Discovery::start(executor.clone(), sink, address, rev);
+            let _watch = Discovery::start(executor.clone(), sink, address, rev, None);
             async_io::block_on(executor.run(async {
                 let _ = stopped.recv().await;
             }));
--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -6,8 +6,11 @@
 use http::Response;
 use plover_http1::{Limits, Message, ResponseDecoder, Step};
 use plover_model::server::Targets;
+use plover_model::time::Micros;
+use plover_recovery::{Budget, Kind};
 use plover_runtime::clock::limited;
 use plover_runtime::net::read_some;
+use std::cell::RefCell;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
@@ -30,37 +33,73 @@
 pub struct Discovery {
     executor: Rc<LocalExecutor<'static>>,
     sink: Sink,
+    pace: Option<Rc<Pace>>,
     /// Dropping it ends the watch and closes its connection.
     _watch: Task<()>,
 }
 
 impl Discovery {
-    /// Watches at this address, from this version on; `None`: from the whole list on.
+    /// Watches at this address, from this version on; `None`: from the whole list on. With a budget that begins now,
+    /// watches begin at its pace.
     pub fn start(
         executor: Rc<LocalExecutor<'static>>,
         sink: Sink,
         address: SocketAddr,
         rev: Option<u64>,
+        budget: Option<Budget>,
     ) -> Self {
-        let _watch = executor.spawn(watch(address, rev, sink.clone()));
-        Discovery { executor, sink, _watch }
+        let pace = budget.map(|budget| Rc::new(Pace { budget: RefCell::new(budget), start: Instant::now() }));
+        let _watch = executor.spawn(watch(address, rev, sink.clone(), pace.clone()));
+        Discovery { executor, sink, pace, _watch }
     }
 
     /// Watches at another address. Its versions need not be those of the last one, and what changed meanwhile
     /// is known to nobody: it is asked for the whole list first.
     pub fn move_to(&mut self, address: SocketAddr) {
-        self._watch = self.executor.spawn(watch(address, None, self.sink.clone()));
+        self._watch = self.executor.spawn(watch(address, None, self.sink.clone(), self.pace.clone()));
+    }
+}
+
+/// The pace at which watches begin.
+struct Pace {
+    budget: RefCell<Budget>,
+    /// Zero of the budget's clock.
+    start: Instant,
+}
+
+impl Pace {
+    fn now(&self) -> Micros {
+        self.start.elapsed().as_micros() as Micros
+    }
+
+    async fn wait(&self) {
+        loop {
+            let Err(next) = self.budget.borrow_mut().take(self.now(), Kind::List) else { return };
+            Timer::at(self.start + Duration::from_micros(next)).await;
+        }
     }
 }
 
 /// Watches for ever. A list that cannot be had or read leaves the last one in force.
-async fn watch(discovery: SocketAddr, mut rev: Option<u64>, sink: Sink) {
+async fn watch(discovery: SocketAddr, mut rev: Option<u64>, sink: Sink, pace: Option<Rc<Pace>>) {
     let mut back_off = BACK_OFF.0;
+    let mut begins = true;
     loop {
+        if let Some(pace) = pace.as_ref().filter(|_| begins) {
+            pace.wait().await;
+        }
         let error = match session(discovery, &mut rev, &mut back_off, &sink).await {
-            Ok(()) => continue, // closed between two answers, as a server may
+            // Closed between two answers, as a server may: the watch goes on.
+            Ok(()) => {
+                begins = false;
+                continue;
+            }
             Err(error) => error,
         };
+        begins = true;
+        if let Some(pace) = &pace {
+            pace.budget.borrow_mut().refused(pace.now(), Kind::List);
+        }
         warn!(name: "discovery_failed", error = %error);
         Timer::after(back_off).await;
         back_off = (back_off * 2).min(BACK_OFF.1);
--- a/crates/operator-file/src/keywords.rs
+++ b/crates/operator-file/src/keywords.rs
@@ -37,6 +37,7 @@
 }
 
 const HTTP2: Option<&str> = Some("listen-http2");
+const COME_BACK: Option<&str> = Some("come-back-fleet");
 const CONTROL: Option<&str> = Some("control-listen");
 
 /// All keywords; each stands on one line of a file at most, with one argument.
@@ -85,6 +86,41 @@
         Effect::NewConnections,
         HTTP2,
     ),
+    keyword(
+        "come-back-fleet",
+        "2 to 4096",
+        "brokers of the fleet, this one included: a start is paced so that all of them may start at once",
+        Effect::Restart,
+        None,
+    ),
+    keyword(
+        "come-back-lists",
+        "1 to 100000",
+        "calls for the whole list that all of them together make in a second",
+        Effect::Restart,
+        COME_BACK,
+    ),
+    keyword(
+        "come-back-ask",
+        "a time, 100ms to 10min",
+        "after it a list that is remembered serves, where discovery has told none",
+        Effect::Restart,
+        COME_BACK,
+    ),
+    keyword(
+        "come-back-spread",
+        "a time, 0us to 10min",
+        "time over which they begin to serve once they have a list",
+        Effect::Restart,
+        COME_BACK,
+    ),
+    keyword(
+        "come-back-part",
+        "a time, 100ms to 10min",
+        "after it, without a query that ended badly, all are let in",
+        Effect::Restart,
+        COME_BACK,
+    ),
     keyword(
         "control-listen",
         "an address with a port",
--- a/crates/operator-file/src/lib.rs
+++ b/crates/operator-file/src/lib.rs
@@ -22,7 +22,7 @@
 
 pub use fault::{Fault, Faults};
 pub use keywords::{Effect, KEYWORDS, Keyword, SECTION_KEYWORDS, SECTIONS};
-pub use settings::{Changes, Control, Http2, Log, LogFormat, LogLevel, Settings, read};
+pub use settings::{Changes, ComeBack, Control, Http2, Log, LogFormat, LogLevel, Settings, read};
 
 /// Longest file that is read, in bytes.
 pub const LONGEST: usize = 1 << 20;
--- a/crates/operator-file/src/settings.rs
+++ b/crates/operator-file/src/settings.rs
@@ -85,6 +85,21 @@
     pub ping: Micros,
 }
 
+/// How a broker comes back beside others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ComeBack {
+    /// Brokers of the fleet, itself included.
+    pub fleet: usize,
+    /// Calls for the whole list a second, of all of them.
+    pub lists: u32,
+    /// How long discovery is waited for while a list is remembered.
+    pub ask: Micros,
+    /// The time over which they begin to serve.
+    pub spread: Micros,
+    /// After it, without a bad end, all queries are let in.
+    pub part: Micros,
+}
+
 /// What a file sets; the default is what holds without one.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Settings {
@@ -92,6 +107,8 @@
     pub log: Log,
     /// The HTTP/2 front, if it is to be there.
     pub http2: Option<Http2>,
+    /// How it comes back; `None`: it serves at once.
+    pub come_back: Option<ComeBack>,
     /// The control service, if this file is for one.
     pub control: Option<Control>,
     /// Longest wait for parts that could share a call; `None`: a tick of the settings.
@@ -145,7 +162,7 @@
             };
         }
         // The control service reads its file at its start alone.
-        Settings { http2, given, control: self.control.clone(), ..new.clone() }
+        Settings { http2, given, control: self.control.clone(), come_back: self.come_back, ..new.clone() }
     }
 }
 
@@ -258,6 +275,7 @@
             self.value("http2-connection-window", |w| values::size(w, &(64 << 10..=64 << 20)));
         let header_list = self.value("http2-header-list", |w| values::size(w, &(1 << 10..=64 << 10)));
         let control = self.control();
+        let come_back = self.come_back();
         self.contradictions();
         let http2 = listen.map(|listen| Http2 {
             listen,
@@ -268,7 +286,28 @@
         });
         let given = self.taken.iter().map(|(name, (_, argument))| (*name, argument.text.clone())).collect();
         let (table, sections) = std::mem::take(&mut self.sections).end();
-        Settings { log, http2, control, gather, table, sections, given }
+        Settings { log, http2, come_back, control, gather, table, sections, given }
+    }
+
+    fn come_back(&mut self) -> Option<ComeBack> {
+        let fleet = self.value("come-back-fleet", |w| values::whole(w, &(2..=4096)));
+        let lists = self.value("come-back-lists", |w| values::whole(w, &(1..=100_000))).unwrap_or(100);
+        let span = |least| least..=600 * SECOND;
+        let ask = self.value("come-back-ask", |w| values::span(w, &span(100 * MILLI))).unwrap_or(5 * SECOND);
+        let spread = self.value("come-back-spread", |w| values::span(w, &span(0))).unwrap_or(SECOND);
+        let part =
+            self.value("come-back-part", |w| values::span(w, &span(100 * MILLI))).unwrap_or(10 * SECOND);
+        let fleet = fleet?;
+        // Else most would go by what they remember, however well discovery is.
+        let takes = SECOND * fleet / lists;
+        if let Some((word, _)) = self.taken.get("come-back-fleet").cloned().filter(|_| ask <= takes) {
+            let what =
+                format!("{fleet} brokers take {takes}us to ask for the list at {lists} calls a second");
+            let holds = SECOND * fleet / ask + 1;
+            let expected = format!("expected come-back-ask to be longer, or come-back-lists {holds} or more");
+            self.fault(&word, what, expected);
+        }
+        Some(ComeBack { fleet: fleet as usize, lists: lists as u32, ask, spread, part })
     }
 
     fn control(&mut self) -> Option<Control> {
--- a/crates/operator-file/tests/files.rs
+++ b/crates/operator-file/tests/files.rs
@@ -15,6 +15,11 @@
 http2-streams 200
 http2-connection-window 1MiB
 http2-header-list 16KiB
+come-back-fleet 30
+come-back-lists 60
+come-back-ask 3s
+come-back-spread 2s
+come-back-part 20s
 control-listen 127.0.0.1:18000
 control-name data.example
 control-instances 3
@@ -41,6 +46,9 @@
     let http2 = settings.http2.unwrap();
     assert_eq!((http2.listen.port(), http2.connections, http2.streams), (8081, Some(64), Some(200)));
     assert_eq!((http2.connection_window, http2.header_list), (Some(1 << 20), Some(16 << 10)));
+    let back = settings.come_back.unwrap();
+    assert_eq!((back.fleet, back.lists), (30, 60));
+    assert_eq!((back.ask, back.spread, back.part), (3_000_000, 2_000_000, 20_000_000));
     let control = settings.control.unwrap();
     assert_eq!(
         (control.listen.port(), control.name.as_str(), control.streams),
@@ -180,3 +188,14 @@
         }
     }
 }
+
+/// A fleet that takes longer to ask than any of its brokers waits would go by what it remembers.
+#[test]
+fn a_fleet_has_time_to_ask_for_its_list() {
+    let good = read("f", "come-back-fleet 300\n").unwrap().come_back.unwrap();
+    assert_eq!((good.fleet, good.lists, good.ask, good.spread), (300, 100, 5_000_000, 1_000_000));
+    let faults = read("f", "come-back-fleet 4096\n").unwrap_err().to_string();
+    assert!(faults.contains("f:1:1") && faults.contains("come-back-lists 820 or more"), "{faults}");
+    let faults = read("f", "come-back-ask 1s\n").unwrap_err().to_string();
+    assert!(faults.contains("it needs come-back-fleet"), "{faults}");
+}
--- a/crates/ops/src/figures.rs
+++ b/crates/ops/src/figures.rs
@@ -42,6 +42,8 @@
     pub applied: u64,
     /// Files turned down at SIGHUP.
     pub rejected: u64,
+    /// Where it is on its way back, from 0, where that is paced.
+    pub phase: Option<u64>,
 }
 
 /// The counts of all classes that the settings ever named: as many as settings may name in the life of a process.
@@ -112,6 +114,9 @@
         line("ejected", census.ejected);
         line("sighup_applied", census.applied);
         line("sighup_rejected", census.rejected);
+        if let Some(phase) = census.phase {
+            line("coming_back", phase);
+        }
         text
     }
 }
@@ -142,7 +147,7 @@
         books.row("ranking");
         (0..4).for_each(|_| books.take(lookup));
         [End::Succeeded, End::Declined, End::Aborted].into_iter().for_each(|end| books.end(lookup, end));
-        let census = Census { forwards: 7, discovered: 14, ejected: 2, applied: 1, rejected: 3 };
+        let census = Census { forwards: 7, discovered: 14, ejected: 2, applied: 1, rejected: 3, phase: None };
         let expected = "results.lookup.succeeded=1\nresults.lookup.declined=1\nresults.lookup.aborted=1\n\
             results.ranking.succeeded=0\nresults.ranking.declined=0\nresults.ranking.aborted=0\n\
             forwards=7\noutstanding=1\ndiscovered=14\nejected=2\nsighup_applied=1\nsighup_rejected=3\n";
--- a/crates/recovery/src/budget.rs
+++ b/crates/recovery/src/budget.rs
@@ -98,6 +98,12 @@
     }
 }
 
+/// Where in a time over which brokers are spread the one with this seed has its turn, from 0 to below 1.
+pub fn turn_of(seed: u64) -> f64 {
+    let mut state = !seed;
+    (draw(&mut state) >> 11) as f64 / (1u64 << 53) as f64
+}
+
 /// The next draw of a seed (SplitMix64, whose every state gives a different number).
 fn draw(state: &mut u64) -> u64 {
     *state = state.wrapping_add(0x9e37_79b9_7f4a_7c15);
--- a/crates/recovery/src/lib.rs
+++ b/crates/recovery/src/lib.rs
@@ -11,7 +11,7 @@
 mod ramp;
 mod roster;
 
-pub use budget::{Budget, Kind, Rates};
+pub use budget::{Budget, Kind, Rates, turn_of};
 pub use phase::{Change, Coming, Phase, Times};
 pub use ramp::Ramp;
 pub use roster::{Entry, Roster, Source, State};
--- a/crates/recovery/src/phase.rs
+++ b/crates/recovery/src/phase.rs
@@ -56,6 +56,17 @@
 }
 
 impl Phase {
+    /// Its place on the way, from 0 to 4.
+    pub fn place(&self) -> u64 {
+        match self {
+            Phase::Nothing => 0,
+            Phase::Asking { .. } => 1,
+            Phase::Listed { .. } => 2,
+            Phase::Part { .. } => 3,
+            Phase::Full => 4,
+        }
+    }
+
     /// Its name in the log and in the door's figures.
     pub fn name(&self) -> &'static str {
         match self {
@@ -130,6 +141,11 @@
         Some(change)
     }
 
+    /// Whether some queries are let in: fronts may send them.
+    pub fn is_open(&self) -> bool {
+        matches!(self.phase, Phase::Part { .. } | Phase::Full)
+    }
+
     /// Whether a query that has come is let in. Those that are not are refused at once: trying again is harmless.
     pub fn admits(&mut self) -> bool {
         match &mut self.phase {
