--- a/crates/ploverport/tests/operation/coming_back.rs
+++ b/crates/ploverport/tests/operation/coming_back.rs
@@ -2,9 +2,10 @@
 
 use crate::rig::{ask, call, configuration, exchange, exe, figures, fleet, until};
 use plover_load::{Answer, Ask};
+use plover_recovery::{Budget, Kind, Rates};
 use plover_standins::{Fleet, Program};
 use serde_json::json;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Discovery is waited for as long as it takes; all else comes soon.
 const PATIENT: &str =
@@ -12,12 +13,16 @@
 /// It is waited for shortly.
 const HASTY: &str = "come-back-fleet 4\ncome-back-ask 300ms\ncome-back-spread 100ms\ncome-back-part 500ms\n";
 
+fn seed(n: u64) -> u64 {
+    0x9e37_79b9 * (n + 1)
+}
+
 /// So many brokers of one fleet.
 fn brokers(fleet: &Fleet, many: u64, operator: &str) -> Vec<Program> {
     let broker = |n: u64| {
         let mut configuration = configuration(fleet);
         configuration["name"] = json!(format!("n{n}"));
-        configuration["seed"] = json!(format!("{:016x}", 0x9e37_79b9 * (n + 1)));
+        configuration["seed"] = json!(format!("{:016x}", seed(n)));
         Program::serve(exe(), &configuration, operator, None).unwrap()
     };
     (0..many).map(broker).collect()
@@ -124,3 +129,23 @@
     assert!(ready(&program) && served(&ask(program.http1, &Ask::new("a", "lookup", &[0]))));
     assert!(!figures(&program).contains_key("coming_back"));
 }
+
+/// None asks before the moment that its seed draws, so that hundreds would not ask at once.
+#[test]
+fn each_asks_for_the_list_at_its_own_moment() {
+    let fleet = fleet(Duration::ZERO);
+    let begun = Instant::now();
+    let operator = "come-back-fleet 40\ncome-back-lists 20\ncome-back-ask 10min\ncome-back-spread 0us\n";
+    let mut programs = brokers(&fleet, 4, operator);
+    let drawn = |n| {
+        let rates = Rates { lists: 20, connections: 1, probes: 1, states: 1 };
+        Duration::from_micros(Budget::new(0, seed(n), 40, rates).take(0, Kind::List).err().unwrap_or(0))
+    };
+    let mut moments: Vec<Duration> = (0..4).map(drawn).collect();
+    moments.sort_unstable();
+    assert!(moments[3] - moments[0] > Duration::from_millis(500), "{moments:?}");
+    programs.iter_mut().for_each(|p| drop(p.logged("event=coming_back_part").unwrap()));
+    let asked = fleet.lists_asked();
+    assert_eq!(asked.len(), 4, "once each");
+    assert!(asked.iter().zip(&moments).all(|(at, moment)| *at - begun >= *moment), "{asked:?} {moments:?}");
+}
--- a/crates/standins/src/discovery.rs
+++ b/crates/standins/src/discovery.rs
@@ -17,6 +17,9 @@
 /// The longest watch that is granted.
 const LONGEST_WAIT: u64 = 60_000;
 
+/// Calls for the whole list that are kept.
+const KEPT: usize = 100_000;
+
 /// The list, and who watches it.
 pub(crate) struct Discovery {
     state: RefCell<State>,
@@ -28,14 +31,21 @@
     entries: BTreeMap<String, (u64, Value)>,
     /// It takes calls and answers none.
     silent: bool,
+    /// When it was asked for the whole list.
+    asked: Vec<Instant>,
     /// Closed, and replaced, when something changes.
     changed: (Sender<()>, Receiver<()>),
 }
 
 impl Discovery {
     pub(crate) fn new() -> Rc<Self> {
-        let state =
-            State { rev: 1, entries: BTreeMap::new(), silent: false, changed: async_channel::bounded(1) };
+        let state = State {
+            rev: 1,
+            entries: BTreeMap::new(),
+            silent: false,
+            asked: Vec::new(),
+            changed: async_channel::bounded(1),
+        };
         Rc::new(Discovery { state: RefCell::new(state) })
     }
 
@@ -56,6 +66,11 @@
         state.changed = async_channel::bounded(1);
     }
 
+    /// When it was asked for the whole list, up to the most that is kept.
+    pub(crate) fn asked(&self) -> Vec<Instant> {
+        self.state.borrow().asked.clone()
+    }
+
     /// Whether it answers.
     pub(crate) fn set_silent(&self, silent: bool) {
         let mut state = self.state.borrow_mut();
@@ -112,6 +127,12 @@
             pairs.into_iter().find(|(key, _)| *key == name).and_then(|(_, n)| n.parse::<u64>().ok())
         };
         let index = number("index");
+        if index.is_none() {
+            let mut state = self.state.borrow_mut();
+            if state.asked.len() < KEPT {
+                state.asked.push(Instant::now());
+            }
+        }
         let until = Instant::now() + Duration::from_millis(number("wait").unwrap_or(0).min(LONGEST_WAIT));
         loop {
             let (news, silent, changed) = {
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -39,6 +39,7 @@
 enum Word {
     State(usize, &'static str),
     Silent(bool),
+    Asked(std::sync::mpsc::Sender<Vec<Instant>>),
     Kill(usize),
     Revive(usize),
 }
@@ -175,6 +176,13 @@
         self.say(Word::Revive(n));
     }
 
+    /// When discovery was asked for the whole list.
+    pub fn lists_asked(&self) -> Vec<Instant> {
+        let (answer, asked) = std::sync::mpsc::channel();
+        self.say(Word::Asked(answer));
+        asked.recv().unwrap_or_default()
+    }
+
     /// Whether discovery takes calls and answers none.
     pub fn silence_discovery(&self, silent: bool) {
         self.say(Word::Silent(silent));
@@ -217,6 +225,10 @@
 ) {
     match word {
         Word::Silent(silent) => list.set_silent(silent),
+        Word::Asked(answer) => {
+            // Who asked may have gone.
+            let _ = answer.send(list.asked());
+        }
         Word::State(n, state) => {
             if let Some(one) = running.get(&n) {
                 list.set(one.entry(state));
