Call off a silent part only where the query's other parts took far less

Faulty line: `lost = there.heard < newest.sent` - in a burst servers that a broker seldom meets say nothing since they are full.

Change: the parts of the same query that are in tell what is usual in this very moment: an attempt is taken for lost once it is out for three times the longest of them.

A test holds it and breaks without it.

--- a/crates/brookbend/src/choice.rs
+++ b/crates/brookbend/src/choice.rs
@@ -533,8 +533,9 @@
         // What was sent later is answered: this attempt was lost alone, and another may go there.
         let alone = there.last_served_sent > newest.sent;
         let same = out && newest.server == s && !alone;
-        // Nothing was heard from there since: rather lost than slow.
-        let lost = there.heard < newest.sent;
+        // Nothing was heard from there since, and the query's other parts took far less: not slow but lost.
+        let took = q.pieces.iter().filter(|p| p.served).flat_map(|p| &p.tries).map(|t| t.took);
+        let lost = there.heard < newest.sent && age > OVERDUE * took.fold(0.0, f64::max);
         let soon = age <= expected.min(forecast) + COPY * forecast;
         if out && (same || soon || !self.fit(s, 0.0) || self.now + forecast > self.useful_end(q)) {
             return;
@@ -623,7 +624,7 @@
             Flight { server, class: q.class, work, ahead: others + s.work_out, sent: self.now, expected };
         let piece = &mut q.pieces[i];
         self.desk.flights.insert((piece.id.clone(), piece.tries.len() as u32), flight);
-        piece.tries.push(Try { server, sent: self.now, expected, outcome: None });
+        piece.tries.push(Try { server, sent: self.now, expected, outcome: None, took: 0.0 });
         let node = self.fleet.servers[server].node.clone();
         self.out.push(Action::Send { part: piece.id.clone(), node, within });
     }
@@ -815,10 +816,11 @@
             self.landed(&flight, outcome, elapsed);
             self.hear_load(&flight, load);
         }
+        let now = self.now;
         let Some((id, i)) = self.desk.part_of.get(&part) else { return };
         let Some(piece) = self.desk.queries.get_mut(id).and_then(|q| q.pieces.get_mut(*i)) else { return };
         if let Some(t) = piece.tries.get_mut(attempt as usize) {
-            t.outcome = Some(outcome);
+            (t.outcome, t.took) = (Some(outcome), now - t.sent);
             piece.served |= outcome == Outcome::Served;
         }
     }
--- a/crates/brookbend/src/state.rs
+++ b/crates/brookbend/src/state.rs
@@ -54,6 +54,8 @@
     pub(crate) sent: Ms,
     pub(crate) expected: Ms,
     pub(crate) outcome: Option<Outcome>,
+    /// How long it took, once it has ended.
+    pub(crate) took: Ms,
 }
 
 pub(crate) struct Piece {
--- a/crates/brookbend/tests/lost_alone.rs
+++ b/crates/brookbend/tests/lost_alone.rs
@@ -55,3 +55,11 @@
     s.step(160.0, ends);
     assert_eq!(called_off(&mut s, 70), None);
 }
+
+#[test]
+fn where_the_other_parts_took_long_too_it_is_waited_for() {
+    let mut s = slow_fleet();
+    let sent = sends(&s.ask("q", &[0, 1, 2, 3]));
+    s.step(300.0, sent[1..].iter().map(|p| ended(&p.0, 0, Outcome::Served, 300.0)).collect());
+    assert_eq!(called_off(&mut s, 60), None, "in a burst servers say nothing for long since they are full");
+}
