--- /dev/null
+++ b/crates/ranges/tests/map.rs
@@ -0,0 +1,99 @@
+//! Whatever is done to a map, every key has one holder, and whoever held an older state can be told so.
+
+use plover_ranges::*;
+use proptest::prelude::*;
+use std::collections::BTreeSet;
+
+fn key(n: u16) -> Key {
+    Key::new(n.to_be_bytes()).expect("short")
+}
+
+fn nodes(names: &[&str]) -> BTreeSet<NodeName> {
+    names.iter().map(|n| NodeName::from(*n)).collect()
+}
+
+fn whole(map: &RangeMap) -> Result<RangeMap, Fault> {
+    RangeMap::new(map.version(), map.next(), map.ranges().cloned().collect())
+}
+
+proptest! {
+    #[test]
+    fn every_key_has_one_holder_after_any_changes(
+        changes in prop::collection::vec((0u8..3, 0u16..64, 0u64..64, 0u64..64), 1..60),
+        probes in prop::collection::vec(0u16..80, 8),
+    ) {
+        let mut map = RangeMap::whole(nodes(&["a", "b"])).expect("a map");
+        for (kind, at, one, other) in changes {
+            let changed = match kind {
+                0 => map.split(RangeId(one), &key(at)),
+                1 => map.merged(RangeId(one), RangeId(other)),
+                _ => map.placed(RangeId(one), nodes(if other % 2 == 0 { &["a", "b"] } else { &["c"] })),
+            };
+            let Ok(new) = changed else { continue };
+            prop_assert!(whole(&new).is_ok());
+            prop_assert_eq!(new.version().0, map.version().0 + 1);
+            for probe in &probes {
+                let (before, after) = (map.at(&key(*probe)), new.at(&key(*probe)));
+                let (Some(before), Some(after)) = (before, after) else { panic!("a key without a range") };
+                prop_assert_eq!(new.ranges().filter(|h| h.range.holds(&key(*probe))).count(), 1);
+                prop_assert!(before == after || before.epoch < after.epoch);
+            }
+            map = new;
+        }
+    }
+
+    #[test]
+    fn a_part_of_the_key_space_is_held_by_just_the_ranges_that_touch_it(
+        cuts in prop::collection::btree_set(1u16..60, 0..12), from in 0u16..60, more in 1u16..30,
+    ) {
+        let mut map = RangeMap::whole(nodes(&["a"])).expect("a map");
+        for cut in cuts {
+            let id = map.at(&key(cut)).expect("held").id;
+            map = map.split(id, &key(cut)).expect("inside");
+        }
+        let part = KeyRange::new(key(from), Some(key(from + more))).expect("not empty");
+        let found: Vec<RangeId> = map.within(&part).map(|h| h.id).collect();
+        let wanted: Vec<RangeId> = map.ranges().filter(|h| h.range.overlaps(&part)).map(|h| h.id).collect();
+        prop_assert_eq!(found, wanted);
+    }
+}
+
+#[test]
+fn what_is_no_map_is_refused() {
+    let range = |from: u16, to: Option<u16>| {
+        KeyRange::new(if from == 0 { Key::least() } else { key(from) }, to.map(key)).unwrap()
+    };
+    let held = |id, range| Held { id: RangeId(id), range, epoch: Epoch(1), replicas: nodes(&["a"]) };
+    let of = |held: Vec<Held>| RangeMap::new(MapVersion(1), RangeId(9), held);
+    assert!(of(vec![held(0, range(0, Some(5))), held(1, range(5, None))]).is_ok());
+    assert_eq!(of(vec![]), Err(Fault::NoEnd));
+    assert_eq!(of(vec![held(0, range(0, Some(5)))]), Err(Fault::NoEnd));
+    assert_eq!(
+        of(vec![held(0, range(0, Some(5))), held(1, range(6, None))]),
+        Err(Fault::NotWhole(range(6, None)))
+    );
+    assert_eq!(
+        of(vec![held(0, range(0, Some(5))), held(1, range(4, None))]),
+        Err(Fault::NotWhole(range(4, None)))
+    );
+    assert_eq!(
+        of(vec![held(0, range(0, None)), held(1, range(5, None))]),
+        Err(Fault::NotWhole(range(5, None)))
+    );
+    assert_eq!(of(vec![held(1, range(0, Some(5))), held(1, range(5, None))]), Err(Fault::Name(RangeId(1))));
+    assert_eq!(of(vec![held(9, range(0, None))]), Err(Fault::Name(RangeId(9))));
+    let none = Held { replicas: BTreeSet::new(), ..held(0, range(0, None)) };
+    assert_eq!(of(vec![none]), Err(Fault::Replicas(RangeId(0), 0)));
+}
+
+#[test]
+fn changes_that_mean_nothing_are_refused() {
+    let map = RangeMap::whole(nodes(&["a", "b"])).unwrap().split(RangeId(0), &key(7)).unwrap();
+    assert!(matches!(map.split(RangeId(2), &key(7)), Err(Fault::CutsNothing(..))));
+    assert!(matches!(map.split(RangeId(1), &key(9)), Err(Fault::CutsNothing(..))));
+    assert_eq!(map.split(RangeId(0), &key(3)), Err(Fault::NoRange(RangeId(0))));
+    assert_eq!(map.merged(RangeId(2), RangeId(1)), Err(Fault::NoNeighbours(RangeId(2), RangeId(1))));
+    let moved = map.placed(RangeId(1), nodes(&["c"])).unwrap();
+    assert_eq!(moved.merged(RangeId(1), RangeId(2)), Err(Fault::OtherHolders(RangeId(1), RangeId(2))));
+    assert!(Key::new([0; LONGEST_KEY + 1]).is_none());
+}
