Give optional parts one seam in the turn loop, and the loop's owners files of their own

The turn loop knew the hand-over, the way back, the program's life and the reading of files by name, and imported coming.rs, which imported it. Each further optional part would have gone through the middle of it.

Optional parts now stand behind one trait (parts.rs): what they are told in a turn, what they want done, when they are due, and what bears on queries. The way back and the hand-over are such parts; run.rs alone says which are on.

A part that is off is not in the list: the seam then allocates nothing, which a test counts. Before, a turn took the census of the list twice where the way back was on, and once where it was off.

A process that hears that another one serves opens its fronts only while it is itself to serve: it did so whatever its life was.

--- a/crates/broker/src/coming.rs
+++ b/crates/broker/src/coming.rs
@@ -1,18 +1,13 @@
-//! How the broker comes back: see `plover_recovery`, which decides it.
+//! How the broker comes back, as a part of its turns: see `plover_recovery`, which decides it.
 
-use crate::turns::Broker;
+use crate::parts::{Entry, Part, Told, View, Want};
+use plover_model::query::Ask;
 use plover_model::time::{MILLI, Micros};
 use plover_operator_file::ComeBack;
-use plover_ops::{Effect, Stage};
-use plover_recovery::{Budget, Coming, Phase, Rates, Times, turn_of};
+use plover_ops::Census;
+use plover_recovery::{Budget, Change, Coming, Phase, Rates, Times, turn_of};
 use tracing::info;
 
-/// A way back that begins now.
-pub(crate) fn begin(now: Micros, set: ComeBack, seed: u64) -> Coming {
-    let times = Times { ask_for: set.ask, spread: set.spread, part_for: set.part };
-    Coming::new(now, times, turn_of(seed))
-}
-
 /// The pace of calls for the list, from zero on; the other kinds are not paced yet.
 pub(crate) fn budget(set: ComeBack, seed: u64) -> Budget {
     let unpaced = u32::MAX;
@@ -20,25 +15,65 @@
     Budget::new(0, seed, set.fleet, rates)
 }
 
-impl Broker {
-    /// Moves on where its time has come or something was heard, and opens the fronts with that.
-    pub(crate) fn come_back(&mut self, now: Micros) {
-        let remembered = self.core.census(now).0 > 0;
-        while let Some(change) = self.coming.as_mut().and_then(|coming| coming.turn(now, remembered)) {
-            let (from, took_ms) = (change.from, change.took / MILLI);
-            // An event has one line a second, and phases may be shorter.
-            match self.coming.as_ref().map(Coming::phase) {
-                Some(Phase::Asking { .. }) => info!(name: "coming_back_asking", from),
-                Some(Phase::Listed { remembered, .. }) => {
-                    info!(name: "coming_back_listed", from, took_ms, remembered);
+/// Its way back. `None`: it is not on one, since it went on from a process of its own that served.
+pub(crate) struct WayBack(Option<Coming>);
+
+impl WayBack {
+    /// One that begins now.
+    pub(crate) fn begin(now: Micros, set: ComeBack, seed: u64) -> Self {
+        let times = Times { ask_for: set.ask, spread: set.spread, part_for: set.part };
+        WayBack(Some(Coming::new(now, times, turn_of(seed))))
+    }
+}
+
+impl Part for WayBack {
+    fn told(&mut self, now: Micros, what: Told<'_>, wants: &mut Vec<Want>) {
+        let Some(coming) = &mut self.0 else { return };
+        match what {
+            Told::List => coming.list_came(),
+            Told::Ended { in_time } => coming.ended(now, in_time),
+            Told::Heard(view) => {
+                let remembered = view.has_list(now);
+                while let Some(change) = coming.turn(now, remembered) {
+                    log(&change, coming.phase());
+                    wants.push(Want::Open);
                 }
-                Some(Phase::Part { .. }) => info!(name: "coming_back_part", from, took_ms),
-                Some(Phase::Full) => info!(name: "coming_back_full", from, took_ms),
-                Some(Phase::Nothing) | None => {}
             }
-            if self.life.is_ready() {
-                self.go(Effect::Go(Stage::Serving));
+            // It is not coming back, and begins with what that process knew.
+            Told::TakenOver => {
+                self.0 = None;
+                wants.push(Want::Open);
             }
+            Told::Start | Told::Begin(_) | Told::Decided(_) => {}
         }
     }
+
+    fn due(&self, now: Micros, view: View<'_>) -> Option<Micros> {
+        self.0.as_ref().and_then(|coming| coming.due(view.has_list(now)))
+    }
+
+    fn entry(&mut self, _now: Micros, _ask: &Ask) -> Entry {
+        if self.0.as_mut().is_none_or(Coming::admits) { Entry::In } else { Entry::Refused }
+    }
+
+    fn shut(&self) -> Option<String> {
+        let coming = self.0.as_ref().filter(|coming| !coming.is_open())?;
+        Some(format!("coming back: {}", coming.phase().name()))
+    }
+
+    fn count(&self, census: &mut Census) {
+        census.phase = self.0.as_ref().map(|coming| coming.phase().place());
+    }
+}
+
+/// An event has one line a second, and phases may be shorter: each has an event of its own.
+fn log(change: &Change, phase: &Phase) {
+    let (from, took_ms) = (change.from, change.took / MILLI);
+    match phase {
+        Phase::Asking { .. } => info!(name: "coming_back_asking", from),
+        Phase::Listed { remembered, .. } => info!(name: "coming_back_listed", from, took_ms, remembered),
+        Phase::Part { .. } => info!(name: "coming_back_part", from, took_ms),
+        Phase::Full => info!(name: "coming_back_full", from, took_ms),
+        Phase::Nothing => {}
+    }
 }
--- /dev/null
+++ b/crates/broker/src/doors.rs
@@ -0,0 +1,93 @@
+//! Who is let in: the fronts, the program's life that they go by, and what operators call for.
+
+use crate::front::Fronts;
+use plover_model::time::Micros;
+use plover_ops::{Call, Effect, Life, Stage};
+use tracing::info;
+
+/// The fronts and the life that they go by. `shut` says in each call whether a part keeps the broker from being ready.
+pub(crate) struct Doors {
+    pub(crate) fronts: Fronts,
+    life: Life,
+}
+
+impl Doors {
+    /// Open, unless they are shut.
+    pub(crate) fn new(fronts: Fronts, shut: bool) -> Self {
+        let doors = Doors { fronts, life: Life::Serving };
+        doors.open(shut);
+        doors
+    }
+
+    /// What a change of life asks of the fronts. Those that close their doors wait for what the system has accepted,
+    /// which the loop does between two turns: [`Doors::close`].
+    fn go(&self, effect: Effect, shut: bool) {
+        match effect {
+            Effect::Go(Stage::Closing) | Effect::None => {}
+            // One that lets nothing in yet is not ready, but what comes all the same is answered.
+            Effect::Go(Stage::Serving) if shut => self.fronts.go(Stage::Leaving),
+            Effect::Go(stage) => self.fronts.go(stage),
+        }
+    }
+
+    /// Serves, where nothing speaks against it.
+    pub(crate) fn open(&self, shut: bool) {
+        if self.life.is_ready() {
+            self.go(Effect::Go(Stage::Serving), shut);
+        }
+    }
+
+    /// The program is to end.
+    pub(crate) fn terminate(&mut self, now: Micros, open_queries: usize) {
+        let effect = self.life.terminate(now);
+        if effect != Effect::None {
+            info!(name: "leaving", open_queries);
+        }
+        self.go(effect, false);
+    }
+
+    /// Heeds an operator's call: a status, and a text. `shut` says why a part keeps the broker from being ready.
+    pub(crate) fn operate(
+        &mut self,
+        now: Micros,
+        call: Call,
+        shut: Option<String>,
+        open_queries: usize,
+        figures: impl FnOnce() -> String,
+    ) -> (u16, String) {
+        let name = |life: Life| life.name().to_owned();
+        let changed = match call {
+            Call::Ready if !self.life.is_ready() => return (503, name(self.life)),
+            Call::Ready => return shut.map_or((200, name(self.life)), |why| (503, why)),
+            Call::Telemetry => return (200, figures()),
+            Call::Evacuate => self.life.evacuate(now),
+            Call::Rejoin => self.life.rejoin(),
+        };
+        let Ok(effect) = changed else { return (409, "leaving: it is to end".to_owned()) };
+        if effect != Effect::None {
+            info!(name: "operated", call = ?call, life = self.life.name(), open_queries);
+        }
+        self.go(effect, shut.is_some());
+        (200, name(self.life))
+    }
+
+    /// Moves on with time; closes for good once that is over. `superseded`: a newer process accepts at the same socket.
+    /// True: nobody is connected any more.
+    pub(crate) async fn turn(&mut self, now: Micros, superseded: bool) -> bool {
+        if self.life.is_ending() && superseded {
+            self.fronts.leave_to_next().await;
+        }
+        let effect = self.life.tick(now);
+        self.go(effect, false);
+        if self.life == Life::Gone {
+            self.fronts.close().await;
+        }
+        self.life == Life::Gone && self.fronts.open() == 0
+    }
+
+    /// When the next turn is due, if ever; a closing is looked at each tick.
+    pub(crate) fn due(&self, next_tick: Micros) -> Option<Micros> {
+        let closing = self.fronts.is_closing().then_some(next_tick);
+        [self.life.due(), closing].into_iter().flatten().min()
+    }
+}
--- a/crates/broker/src/inbox.rs
+++ b/crates/broker/src/inbox.rs
@@ -23,8 +23,8 @@
     Reload,
     /// The program is to end.
     Terminate,
-    /// A process that is one broker with this one has something to say, or has gone.
-    Neighbour,
+    /// Something came for an optional part, which takes it itself when the turn begins.
+    Part,
     /// An operator calls; the answer is a status and a text.
     Operator(Call, Sender<(u16, String)>),
 }
--- /dev/null
+++ b/crates/broker/src/reload.rs
@@ -0,0 +1,97 @@
+//! The configuration and the operator's file, as they are in force and as SIGHUP finds them.
+
+use crate::operator::{Operator, platform};
+use brookbend::api::Settings;
+use plover_admission::budget::{Fronts, Given, divide};
+use plover_config::{self as config, Config, InForce};
+use plover_core::{Core, Placed};
+use plover_model::query::Names;
+use plover_model::time::{Micros, millis};
+use plover_pacing::Pacing;
+use plover_query::Terms;
+use tracing::warn;
+
+/// Both files, as they were taken last.
+pub(crate) struct Files {
+    operator: Operator,
+    /// What the platform said.
+    in_force: InForce,
+    /// What the platform gives to client connections.
+    clients: Given,
+    /// Files taken and turned down at SIGHUP.
+    pub(crate) taken: u64,
+    pub(crate) turned_down: u64,
+}
+
+/// What was read, checked and taken here; the rest of the program is to go by it.
+pub(crate) struct Fresh {
+    pub(crate) config: Config,
+    /// What the fronts may hold.
+    pub(crate) limits: Fronts,
+    pub(crate) placed: Placed,
+}
+
+impl Files {
+    /// As they were at the start.
+    pub(crate) fn new(operator: Operator, in_force: InForce, clients: Given) -> Self {
+        Files { operator, in_force, clients, taken: 0, turned_down: 0 }
+    }
+
+    /// What the operator sets.
+    pub(crate) fn operator(&self) -> &Operator {
+        &self.operator
+    }
+
+    /// How turns are spaced, where the settings' tick is given.
+    pub(crate) fn pacing(&self, settings: &Settings) -> Pacing {
+        self.operator.pacing(millis(settings.tick))
+    }
+
+    /// What requests are read by, where the settings and the names are given.
+    pub(crate) fn terms(&self, settings: &Settings, names: &Names) -> Terms {
+        Terms {
+            names: names.clone(),
+            settings: Some(settings.clone()),
+            routes: self.operator.routes(&names.classes),
+        }
+    }
+
+    /// What the fronts may hold; the error names what does not fit.
+    pub(crate) fn limits(&self) -> Result<Fronts, String> {
+        divide(self.clients, self.operator.http2())
+    }
+
+    /// Takes the configuration and the operator's file as they are now: both or none. A file that is missing or
+    /// faulty leaves all as it was: a slip of the pen must not end a broker that serves.
+    pub(crate) fn reread(&mut self, now: Micros, core: &Core) -> Option<Fresh> {
+        match self.read(now, core) {
+            Ok(fresh) => {
+                let waits = self.in_force.waits(&fresh.config.in_force);
+                if !waits.is_empty() {
+                    warn!(name: "restart_needed", changed = waits.join(","));
+                }
+                self.in_force.clone_from(&fresh.config.in_force);
+                self.taken += 1;
+                Some(fresh)
+            }
+            Err(error) => {
+                self.turned_down += 1;
+                warn!(name: "reload_failed", error = %error);
+                None
+            }
+        }
+    }
+
+    fn read(&mut self, now: Micros, core: &Core) -> Result<Fresh, String> {
+        let config = config::reread(&self.in_force, config::environment)?;
+        let platform = platform(&config);
+        let settings = self.operator.reread(&platform)?;
+        let mut operator = self.operator.clone();
+        operator.adopt_quietly(&settings);
+        let limits = divide(self.clients, operator.http2())?;
+        let placed = core.plan(now, &config.settings, &config.names).map_err(|e| e.to_string())?;
+        // From here on nothing fails.
+        self.operator.adopt(&settings, platform);
+        Ok(Fresh { config, limits, placed })
+    }
+}
--- /dev/null
+++ b/crates/broker/src/run.rs
@@ -0,0 +1,139 @@
+//! The start of a broker: what it is made of, and which of its optional parts are on.
+
+use crate::coming::{self, WayBack};
+use crate::doors::Doors;
+use crate::front::{Fronts, Plan, Shared};
+use crate::hand_over::HandOver;
+use crate::inbox::{Inbox, Input};
+use crate::list::List;
+use crate::neighbours::Sockets;
+use crate::operator::Operator;
+use crate::parts::Parts;
+use crate::queries::{Queries, quarantine};
+use crate::reload::Files;
+use crate::turns::Broker;
+use crate::upstream::Upstream;
+use async_executor::LocalExecutor;
+use async_signal::{Signal, Signals};
+use futures_lite::StreamExt;
+use plover_config::Config;
+use plover_core::Core;
+use plover_discovery::{Discovery, Sink};
+use plover_model::server::ListScope;
+use plover_model::time::millis;
+use plover_runtime::clock::Clock;
+use plover_runtime::net;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tracing::info;
+
+/// Catches the signals that the program heeds, from now on.
+pub fn signals() -> io::Result<Signals> {
+    Signals::new([Signal::Term, Signal::Int, Signal::Hup])
+}
+
+/// Where a broker listens.
+#[derive(Clone, Copy, Debug)]
+pub struct Addresses {
+    /// For clients with HTTP/1.1.
+    pub http1: SocketAddr,
+    /// For those with HTTP/2.
+    pub http2: Option<SocketAddr>,
+    /// For operators.
+    pub ops: Option<SocketAddr>,
+}
+
+/// Runs a broker until it is told to end; `started` is told where it listens.
+pub fn run(
+    config: Config,
+    operator: Operator,
+    signals: Signals,
+    started: impl FnOnce(Addresses),
+) -> io::Result<()> {
+    let executor = Rc::new(LocalExecutor::new());
+    let inbox = Rc::new(Inbox::default());
+    let clock = Clock::start();
+    let files = Files::new(operator, config.in_force, config.clients);
+    let limits = files.limits().map_err(io::Error::other)?;
+    let set = files.operator().settings();
+    let (http2, come_back) = (set.http2, set.come_back);
+    let listener = match config.inherited {
+        Some(fd) => net::inherit(fd, config.listen)?,
+        None => net::listen(config.listen, false)?,
+    };
+    let http2 = http2.map(|h| net::listen(h.listen, config.inherited.is_some())).transpose()?;
+    let door = config.ops.map(|at| net::listen(at, false)).transpose()?;
+    let at = Addresses {
+        http1: listener.get_ref().local_addr()?,
+        http2: http2.as_ref().map(|l| l.get_ref().local_addr()).transpose()?,
+        ops: door.as_ref().map(|l| l.get_ref().local_addr()).transpose()?,
+    };
+    heed(signals, inbox.clone(), &executor);
+    let on_list = inbox.clone();
+    let list: Sink = Rc::new(move |targets| on_list.put(Input::Targets(targets)));
+    let shared = Shared::new(inbox.clone(), clock, files.terms(&config.settings, &config.names));
+    let plan = Plan { http1: listener, inherited: config.inherited.is_some(), http2, door, limits };
+    let hand_over = config.hand_over.as_ref().map(|directory| {
+        let quarantine = quarantine(&config.settings);
+        Sockets::start(directory, &config.name, clock, quarantine, executor.clone(), inbox.clone())
+    });
+    let fronts = Fronts::start(shared, plan, clock, executor.clone());
+    let mut parts = Parts::default();
+    if let Some(set) = come_back {
+        parts.add(WayBack::begin(clock.now(), set, config.seed));
+    }
+    if let Some(sockets) = hand_over {
+        parts.add(HandOver::new(sockets, clock));
+    }
+    let rev = config.known.rev;
+    let classes = &config.names.classes;
+    let mut broker = Broker {
+        clock,
+        tick: millis(config.settings.tick),
+        pacing: files.pacing(&config.settings),
+        files,
+        queries: Queries::new(&config.settings, classes, config.max_open, config.seed, clock.shared(0)),
+        core: Core::new(config.settings, config.max_open, config.seed).named(&config.names),
+        upstream: Upstream::new(executor.clone(), inbox.clone(), config.pool),
+        discovery: Discovery::start(
+            executor.clone(),
+            list,
+            config.discovery,
+            // What is remembered may be a day old: then the whole list is asked for.
+            come_back.is_none().then_some(rev),
+            come_back.map(|c| coming::budget(c, config.seed)),
+        ),
+        inbox,
+        doors: Doors::new(fronts, parts.shut().is_some()),
+        list: List { clock, zones: config.names.zones, rev },
+        dispatches: BTreeMap::new(),
+        ended: Vec::new(),
+        put_off: Vec::new(),
+        parts,
+    };
+    broker.start(ListScope::Known, &config.known);
+    info!(name: "started", name = %config.name, listen = %at.http1, rev);
+    if let (Some(listen), Some(held)) = (at.http2, limits.http2) {
+        let (connections, streams) = (held.connections, held.streams);
+        info!(name: "started_http2", listen = %listen, connections, streams);
+    }
+    if let Some(listen) = at.ops {
+        info!(name: "started_ops", listen = %listen);
+    }
+    started(at);
+    async_io::block_on(executor.run(broker.turns()));
+    info!(name: "stopped", name = %config.name);
+    Ok(())
+}
+
+/// Puts signals into the inbox.
+fn heed(mut signals: Signals, inbox: Rc<Inbox>, executor: &LocalExecutor<'static>) {
+    let told = async move {
+        while let Some(signal) = signals.next().await {
+            inbox.put(if matches!(signal, Ok(Signal::Hup)) { Input::Reload } else { Input::Terminate });
+        }
+    };
+    executor.spawn(told).detach();
+}
--- a/crates/ploverport/src/demo.rs
+++ b/crates/ploverport/src/demo.rs
@@ -3,7 +3,7 @@
 use crate::cli::DemoArguments;
 use crate::serve::{cannot_start, run_with};
 use plover_broker::operator::Operator;
-use plover_broker::turns::Addresses;
+use plover_broker::run::Addresses;
 use plover_standins::{Deployment, Fleet, Plan};
 use std::io::Write;
 use std::net::SocketAddr;
--- a/crates/ploverport/src/serve.rs
+++ b/crates/ploverport/src/serve.rs
@@ -1,7 +1,7 @@
 //! `ploverport` and `ploverport serve`.
 
 use plover_broker::operator::{Operator, platform};
-use plover_broker::turns::{self, Addresses};
+use plover_broker::run::{self as broker, Addresses};
 use plover_config::Config;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -24,7 +24,7 @@
     started: impl FnOnce(Addresses),
 ) -> ExitCode {
     plover_telemetry::init(plover_telemetry::Format::Logfmt, Level::INFO);
-    let signals = match turns::signals() {
+    let signals = match broker::signals() {
         Ok(signals) => signals,
         Err(error) => return cannot_start(&error),
     };
@@ -35,7 +35,7 @@
             return ExitCode::FAILURE;
         }
     };
-    match turns::run(config, operator, signals, started) {
+    match broker::run(config, operator, signals, started) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => cannot_start(&error),
     }
