Close idle connections before the doors at a restart, not after

Cause: life.rs moved from Leaving to Gone in one step after 600 ms (`_ => { *self = Life::Gone; Effect::Go(Stage::Closing) }`), and Fronts::close stopped accepting before it closed the idle connections. A request that crossed the closing of an idle connection is sent once more on a new one, and found the doors closed.

The new state Parting, 450 ms after the word: idle connections are closed, new ones are taken for 150 ms more. The test says the order; with the state left out it fails.

--- a/crates/ops/src/life.rs
+++ b/crates/ops/src/life.rs
@@ -6,11 +6,12 @@
 //!     ▲                      │                             │
 //!     └──────── rejoin ──────┴──────────── rejoin ─────────┘
 //!
-//!  any of them ── SIGTERM ──► Leaving ── doors' time over ──► Gone
+//!  any of them ── SIGTERM ──► Leaving ── idle ones' time over ──► Parting ── doors' time over ──► Gone
 //! ```
 //!
 //! In `Closing` and `Leaving` whatever still comes is served, on new connections too: fronts notice late. After that the
-//! connections that are idle are closed; those with a request end with its answer.
+//! connections that are idle are closed; those with a request end with its answer. In `Parting` new ones are taken still: a
+//! request that crosses the closing of an idle connection comes again on a new one.
 
 use plover_model::time::Micros;
 
@@ -18,6 +19,9 @@
 /// send new connections for up to 400 ms more.
 pub const DOORS: Micros = 600_000;
 
+/// After the word to end, idle connections are kept for this long of that time.
+pub const IDLE: Micros = 450_000;
+
 /// What the fronts go by.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Stage {
@@ -42,6 +46,8 @@
     Empty,
     /// It is to end, since then.
     Leaving(Micros),
+    /// The same, and no idle connection is kept any more.
+    Parting(Micros),
     /// It takes nothing new, and ends once all is answered.
     Gone,
 }
@@ -67,7 +73,7 @@
 
     /// Whether it is to end.
     pub fn is_ending(self) -> bool {
-        matches!(self, Life::Leaving(_) | Life::Gone)
+        matches!(self, Life::Leaving(_) | Life::Parting(_) | Life::Gone)
     }
 
     /// What it is called, to an operator.
@@ -76,7 +82,7 @@
             Life::Serving => "serving",
             Life::Closing(_) => "closing",
             Life::Empty => "empty",
-            Life::Leaving(_) | Life::Gone => "leaving",
+            Life::Leaving(_) | Life::Parting(_) | Life::Gone => "leaving",
         }
     }
 
@@ -88,7 +94,7 @@
                 Ok(Effect::Go(Stage::Leaving))
             }
             Life::Closing(_) | Life::Empty => Ok(Effect::None),
-            Life::Leaving(_) | Life::Gone => Err(Refused),
+            Life::Leaving(_) | Life::Parting(_) | Life::Gone => Err(Refused),
         }
     }
 
@@ -100,7 +106,7 @@
                 *self = Life::Serving;
                 Ok(Effect::Go(Stage::Serving))
             }
-            Life::Leaving(_) | Life::Gone => Err(Refused),
+            Life::Leaving(_) | Life::Parting(_) | Life::Gone => Err(Refused),
         }
     }
 
@@ -110,10 +116,15 @@
         if before.is_ending() {
             return Effect::None;
         }
-        *self = Life::Leaving(now);
         match before {
-            Life::Empty => Effect::Go(Stage::Empty),
-            _ => Effect::Go(Stage::Leaving),
+            Life::Empty => {
+                *self = Life::Parting(now);
+                Effect::Go(Stage::Empty)
+            }
+            _ => {
+                *self = Life::Leaving(now);
+                Effect::Go(Stage::Leaving)
+            }
         }
     }
 
@@ -127,6 +138,10 @@
                 *self = Life::Empty;
                 Effect::Go(Stage::Empty)
             }
+            Life::Leaving(since) if now < *since + DOORS => {
+                *self = Life::Parting(*since);
+                Effect::Go(Stage::Empty)
+            }
             _ => {
                 *self = Life::Gone;
                 Effect::Go(Stage::Closing)
@@ -137,7 +152,8 @@
     /// When [`Life::tick`] is due, if ever.
     pub fn due(self) -> Option<Micros> {
         match self {
-            Life::Closing(since) | Life::Leaving(since) => Some(since + DOORS),
+            Life::Leaving(since) => Some(since + IDLE),
+            Life::Closing(since) | Life::Parting(since) => Some(since + DOORS),
             Life::Serving | Life::Empty | Life::Gone => None,
         }
     }
@@ -184,6 +200,17 @@
         assert_eq!((life, life.rejoin()), (Life::Gone, Err(Refused)));
     }
 
+    /// A request that crosses the closing of an idle connection finds the doors open.
+    #[test]
+    fn idle_connections_go_before_the_doors_close() {
+        let mut life = Life::Serving;
+        life.terminate(0);
+        assert_eq!((life.due(), life.tick(IDLE - 1)), (Some(IDLE), Effect::None));
+        assert_eq!((life.tick(IDLE), life.due()), (Effect::Go(Stage::Empty), Some(DOORS)));
+        assert!(life.is_ending() && life.terminate(IDLE) == Effect::None);
+        assert_eq!(life.tick(DOORS), Effect::Go(Stage::Closing));
+    }
+
     proptest! {
         /// Whatever comes in whatever order: it is ready in one state alone, an end is final, and the doors close in
         /// their time after the word that began it.
