End HTTP/1.1 connections in order at a restart, and answer what was sent ahead

- http1.rs closed an idle connection, and one whose last answer was out, with both directions at once (`return Ok(());`, `if input.is_empty() { Ok(()) }`): a request written in that moment met a reset.
- The answer said 'Connection: close' and the requests behind it were thrown away (`keep_alive: message.keep_alive && self.shared.stage() == Stage::Serving`), though their client could not have known.
What is there already is answered first; after the doors have closed, 16 more at the most.
- What the system had accepted as the doors closed was closed at once unless its request was there already (first_bytes, `if self.shared.stage() == Stage::Closing`).
It has 225 ms to speak, as others that have just come.
- accept_rest stopped at the last free seat (`while let Some(seat) = front.seats().try_take()`): the rest of the queue was reset with the listener.
They are told 503, and read on.

--- a/crates/broker/src/front/accept.rs
+++ b/crates/broker/src/front/accept.rs
@@ -4,6 +4,7 @@
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::future::yield_now;
+use plover_runtime::net::linger;
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
@@ -42,17 +43,28 @@
     }
 }
 
-/// Takes the connections that the system has accepted: their requests count as taken.
+/// Takes the connections that the system has accepted: their requests count as taken. Those that find no seat are told
+/// so, and not reset: they are as many as the system queues.
 pub(super) fn accept_rest<S: Serve>(
     front: &Rc<S>,
     listener: &Async<TcpListener>,
     executor: &LocalExecutor<'static>,
 ) {
-    while let Some(seat) = front.seats().try_take()
-        && let Ok((stream, _)) = listener.get_ref().accept()
+    while let Ok((stream, _)) = listener.get_ref().accept()
         && let Ok(stream) = Async::new(stream)
     {
-        executor.spawn(front.clone().serve(stream, seat)).detach();
+        if let Some(seat) = front.seats().try_take() {
+            executor.spawn(front.clone().serve(stream, seat)).detach();
+            continue;
+        }
+        front.turn_away(&stream);
+        // Counted, so that the process does not end before its client has read this.
+        let seat = front.seats().take();
+        let last = async move {
+            let _ = linger(&stream).await;
+            drop(seat);
+        };
+        executor.spawn(last).detach();
     }
 }
 
--- a/crates/broker/src/front/http1.rs
+++ b/crates/broker/src/front/http1.rs
@@ -1,7 +1,7 @@
 //! HTTP/1.1 connections: one task each reads a request, waits for its one final answer, and writes it.
 
 use super::accept::Serve;
-use super::seats::{Rank, Seat, Seats};
+use super::seats::{JUST_COME, Rank, Seat, Seats};
 use super::{Shared, Stage};
 use async_io::{Async, Timer};
 use futures_lite::future::yield_now;
@@ -12,7 +12,7 @@
 use plover_model::query::Reply;
 use plover_query::{BODY_CAP, HEAD_CAP, Response, Routed, final_answer, refuse_connection};
 use plover_runtime::clock::limited;
-use plover_runtime::net::{linger, read_some};
+use plover_runtime::net::{linger, linger_for, read_some};
 use std::io::{self, Write};
 use std::net::{Shutdown, TcpStream};
 use std::rc::Rc;
@@ -28,6 +28,9 @@
 const SILENCE_EMPTY: Duration = Duration::from_millis(500);
 /// How much may be read ahead while an answer is awaited.
 const AHEAD: usize = HEAD_CAP;
+/// Requests that a client sent ahead are answered on its connection after the program's doors have closed, but no more
+/// than this, so that one that never stops does not keep the program.
+const LAST_ONES: usize = 16;
 /// What a request may take.
 const LIMITS: Limits = Limits { head: HEAD_CAP, body: BODY_CAP };
 
@@ -37,6 +40,18 @@
     seats: Rc<Seats>,
 }
 
+/// How an idle connection goes on.
+enum Idle {
+    /// A request has begun.
+    Begun,
+    /// It is to end. Its client may be sending in this moment: it is told, and read on for a while.
+    Over,
+    /// The same, but its seat is wanted at once.
+    Room,
+    /// Its client has gone.
+    Gone,
+}
+
 /// How the reading of a request ended.
 enum Read {
     Whole(Box<Message<Request<Vec<u8>>>>),
@@ -84,10 +99,15 @@
         let mut input = Vec::new();
         let mut decoder = RequestDecoder::new(LIMITS);
         let mut served = false;
+        let mut last_ones = LAST_ONES;
         let number = self.shared.next_connection();
         loop {
-            if input.is_empty() && !self.first_bytes(&stream, seat, &mut input, served).await? {
-                return Ok(());
+            if input.is_empty() {
+                match self.first_bytes(&stream, seat, &mut input, served).await? {
+                    Idle::Begun => {}
+                    Idle::Over => return linger_for(&stream, self.seats.idle_time()).await,
+                    Idle::Room | Idle::Gone => return Ok(()),
+                }
             }
             let message = match self.request(&stream, seat, &mut decoder, &mut input, served).await {
                 Ok(Read::Whole(message)) => message,
@@ -98,14 +118,27 @@
                 Err(e) => return Err(e),
             };
             let (response, usable) = self.answer(number, &message.value, &stream, &mut input).await?;
+            let stage = self.shared.stage();
+            if stage != Stage::Serving && input.is_empty() {
+                // A request behind this one was sent before its client could know that the connection ends.
+                let _ = read_some(&stream, &mut input).or(async { Ok(0) }).await;
+            }
+            let stays = match stage {
+                Stage::Serving => true,
+                Stage::Leaving | Stage::Empty => !input.is_empty(),
+                Stage::Closing => !input.is_empty() && last_ones > 0,
+            };
+            last_ones -= usize::from(stage == Stage::Closing && stays);
             let reader = Reader {
                 version: message.value.version(),
                 head_only: message.value.method() == Method::HEAD,
-                keep_alive: message.keep_alive && self.shared.stage() == Stage::Serving,
+                keep_alive: message.keep_alive && stays,
             };
             write(&stream, &encode_response(&self.shared.dated(response), reader)).await?;
             if !reader.keep_alive {
-                return if input.is_empty() { Ok(()) } else { linger(&stream).await };
+                // A client that asked for the end sends nothing more; another may be sending in this moment.
+                let silent = input.is_empty() && !message.keep_alive;
+                return if silent { Ok(()) } else { linger(&stream).await };
             }
             served |= usable;
             if input.is_empty() {
@@ -117,31 +150,42 @@
         }
     }
 
-    /// Waits, idle, for a request to begin. False: the connection is to end.
+    /// Waits, idle, for a request to begin.
     async fn first_bytes(
         &self,
         stream: &Async<TcpStream>,
         seat: &Seat,
         input: &mut Vec<u8>,
         served: bool,
-    ) -> io::Result<bool> {
-        if self.shared.stage() == Stage::Closing {
-            // What is there already has been taken: it is read and answered.
-            return Ok(read_some(stream, input).or(async { Ok(0) }).await? > 0);
-        }
+    ) -> io::Result<Idle> {
         let spare = seat.spare(if served { Rank::Served } else { Rank::Fresh });
         let silent = Timer::after(match served {
             true => self.seats.idle_time(),
             // Nobody is sent here any more but by fronts that notice late: they speak at once.
-            false if self.shared.stage() == Stage::Empty => SILENCE_EMPTY,
-            false => SILENCE,
+            false => match self.shared.stage() {
+                Stage::Serving | Stage::Leaving => SILENCE,
+                Stage::Empty => SILENCE_EMPTY,
+                // The system had accepted it before the doors closed: its request is on its way.
+                Stage::Closing => JUST_COME,
+            },
         });
+        let read = async {
+            let idle = if read_some(stream, input).await? > 0 { Idle::Begun } else { Idle::Gone };
+            Ok(idle)
+        };
         let end = async {
-            spare.closed().or(async { _ = silent.await }).await;
-            Ok(0)
+            let room = async {
+                spare.closed().await;
+                self.shared.stage() < Stage::Empty
+            };
+            let silent = async {
+                silent.await;
+                false
+            };
+            Ok(if room.or(silent).await { Idle::Room } else { Idle::Over })
         };
         // A request that came beside the closing is taken: reading goes first.
-        Ok(read_some(stream, input).or(end).await? > 0)
+        read.or(end).await
     }
 
     /// Reads a request that has begun.
--- a/crates/broker/src/front/mod.rs
+++ b/crates/broker/src/front/mod.rs
@@ -226,8 +226,10 @@
 mod tests {
     use super::seats::{Rank, Seats};
     use super::*;
+    use futures_lite::AsyncWriteExt;
     use futures_lite::future::yield_now;
     use plover_runtime::clock::limited;
+    use plover_runtime::net::read_some;
     use std::net::TcpStream;
 
     /// One that was to make room may get a request in the same moment and stay; accepting waited for its end,
@@ -256,4 +258,114 @@
         };
         async_io::block_on(executor.run(limited(Duration::from_secs(30), taken))).unwrap();
     }
+
+    const READY: &[u8] = b"GET /-/ready HTTP/1.1\r\nHost: a\r\n\r\n";
+
+    /// A front of so many seats, and what it listens with.
+    struct Rig {
+        shared: Rc<Shared>,
+        executor: Rc<LocalExecutor<'static>>,
+        listening: Listening<Http1>,
+        to: std::net::SocketAddr,
+    }
+
+    impl Rig {
+        fn new(seats: usize) -> Rig {
+            let shared = Shared::new(Rc::default(), Clock::start(), Terms::default());
+            let executor = Rc::new(LocalExecutor::new());
+            let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).unwrap();
+            let to = listener.get_ref().local_addr().unwrap();
+            let listening = Listening::start(Http1::new(shared.clone(), seats), listener, &executor);
+            Rig { shared, executor, listening, to }
+        }
+
+        fn connect(&self) -> Async<TcpStream> {
+            Async::new(TcpStream::connect(self.to).unwrap()).unwrap()
+        }
+
+        fn run<T>(&self, work: impl Future<Output = T>) -> T {
+            let work = limited(Duration::from_secs(30), async { Ok(work.await) });
+            async_io::block_on(self.executor.run(work)).unwrap()
+        }
+    }
+
+    /// The next that a client reads; empty: the broker has closed in order.
+    async fn next(client: &Async<TcpStream>) -> String {
+        let mut input = Vec::new();
+        read_some(client, &mut input).await.unwrap();
+        String::from_utf8(input).unwrap()
+    }
+
+    /// Requests that are written when the broker has just closed its side must meet no reset: their client reads the end of
+    /// the connection, and knows that none of them was taken.
+    #[test]
+    fn a_request_that_crosses_the_closing_of_its_connection_meets_no_reset() {
+        for stage in [Stage::Serving, Stage::Empty] {
+            let rig = Rig::new(2);
+            rig.run(async {
+                let client = rig.connect();
+                // At `Serving` its time as an idle one ends; at `Empty` all idle ones are closed.
+                (&client).write_all(READY).await.unwrap();
+                assert!(next(&client).await.starts_with("HTTP/1.1 200"));
+                if stage == Stage::Empty {
+                    rig.shared.set_stage(stage);
+                    rig.listening.front.close_idle();
+                }
+                assert_eq!(next(&client).await, "");
+                for _ in 0..5 {
+                    (&client).write_all(READY).await.unwrap();
+                    yield_now().await;
+                }
+                drop(client);
+                while rig.listening.front.open() > 0 {
+                    yield_now().await;
+                }
+            });
+        }
+    }
+
+    /// The same where the answer said that it is the last.
+    #[test]
+    fn a_request_behind_the_last_answer_meets_no_reset() {
+        let rig = Rig::new(2);
+        rig.shared.set_stage(Stage::Empty);
+        rig.run(async {
+            let client = rig.connect();
+            (&client).write_all(READY).await.unwrap();
+            assert!(next(&client).await.contains("Connection: close"));
+            assert_eq!(next(&client).await, "");
+            for _ in 0..5 {
+                (&client).write_all(READY).await.unwrap();
+                yield_now().await;
+            }
+        });
+    }
+
+    /// What the system accepted before the doors closed is answered, though it speaks only after; where no seat is left,
+    /// by the word that there is none.
+    #[test]
+    fn connections_in_the_systems_queue_are_answered_when_the_doors_close() {
+        let mut rig = Rig::new(1);
+        let clients = [rig.connect(), rig.connect()];
+        let executor = rig.executor.clone();
+        let mut listening = std::mem::replace(&mut rig.listening, Rig::new(1).listening);
+        rig.run(async {
+            listening.close(&executor).await;
+            rig.shared.set_stage(Stage::Closing);
+            listening.front.close_idle();
+            while listening.front.open() < 2 {
+                yield_now().await;
+            }
+            for _ in 0..5 {
+                yield_now().await;
+            }
+            for client in &clients {
+                (&*client).write_all(READY).await.unwrap();
+            }
+            for client in &clients {
+                assert!(next(client).await.starts_with("HTTP/1.1 503"));
+                assert_eq!(next(client).await, "");
+            }
+        });
+    }
 }
--- a/crates/broker/src/front/seats.rs
+++ b/crates/broker/src/front/seats.rs
@@ -22,7 +22,7 @@
 /// stands in the system's queue instead.
 const FIRST_WORDS: Duration = Duration::from_millis(25);
 /// One that has connected so shortly before idle connections are closed is left to speak.
-const JUST_COME: Duration = Duration::from_millis(225);
+pub(super) const JUST_COME: Duration = Duration::from_millis(225);
 /// Longest wait for room: then a new client is told that there is none, and can try another broker.
 const ROOM_TIME: Duration = Duration::from_millis(250);
 
--- a/crates/runtime/src/net.rs
+++ b/crates/runtime/src/net.rs
@@ -76,6 +76,11 @@
 
 /// Ends a connection whose client may still be sending: unread bytes would make the end a reset.
 pub async fn linger(stream: &Async<TcpStream>) -> io::Result<()> {
+    linger_for(stream, LINGER).await
+}
+
+/// The same for so long at the most.
+pub async fn linger_for(stream: &Async<TcpStream>, time: Duration) -> io::Result<()> {
     // The library of HTTP/2 has done so already where it came to an end of its own.
     let _ = stream.get_ref().shutdown(Shutdown::Write);
     let mut rest = Vec::new();
@@ -86,5 +91,5 @@
         }
         Ok(())
     };
-    limited(LINGER, drain).await
+    limited(time.min(LINGER), drain).await
 }
