Serve a new HTTP/2 connection before it is sent away, and test restarts under load

Cause: `if self.front.shared.stage() != Stage::Serving { self.leave(); }` sent GOAWAY with the first settings. A client that had connected after the word, in the time in which new connections are taken, could not open a single stream. And `refuses` took the stage Closing for a sign that the client had heard GOAWAY; a connection that was told late had not. It now has 500 ms for that.

--- a/crates/broker/src/front/http2/mod.rs
+++ b/crates/broker/src/front/http2/mod.rs
@@ -6,7 +6,7 @@
 mod stream;
 
 use super::accept::Serve;
-use super::seats::{Rank, Seat, Seats, Spare};
+use super::seats::{JUST_COME, Rank, Seat, Seats, Spare};
 use super::{Shared, Stage};
 use async_io::{Async, Timer};
 use bytes::Bytes;
@@ -43,6 +43,8 @@
 const LAST_WORDS: Micros = SECOND / 2;
 /// A connection that is to end, and whose requests are all answered, waits so long for its client to have seen that.
 const FAREWELL: Micros = SECOND;
+/// A client that was told to go has heard it after this time; streams that it opens before are served.
+const HEARD: Micros = SECOND / 2;
 /// Window of a stream: a body as long as any that is taken fits, so that it need not be given back in between, and
 /// one that is longer shows.
 const STREAM_WINDOW: u32 = BODY_CAP as u32 + 1024;
@@ -174,6 +176,8 @@
             watch,
             timer: Timer::never(),
             idle_since: self.clock.now(),
+            just_come_until: self.clock.now() + JUST_COME.as_micros() as Micros,
+            asked: false,
             served: false,
             phase: Phase::Serving,
         };
@@ -195,8 +199,8 @@
 enum Phase {
     /// It takes requests.
     Serving,
-    /// GOAWAY is out: what was taken is answered, and what still comes before the client has seen it.
-    Leaving,
+    /// GOAWAY is out since then: what was taken is answered, and what still comes before the client has seen it.
+    Leaving(Micros),
     /// All is said; it is dropped at this moment at the latest.
     Ending(Micros),
 }
@@ -225,6 +229,9 @@
     watch: SharedWatch,
     timer: Timer,
     idle_since: Micros,
+    /// Before this moment its first request may be on its way, whatever the program's stage.
+    just_come_until: Micros,
+    asked: bool,
     served: bool,
     phase: Phase,
 }
@@ -232,7 +239,7 @@
 impl Life<'_> {
     async fn run(&mut self) -> Parting {
         loop {
-            if self.front.shared.stage() != Stage::Serving {
+            if self.is_to_leave() {
                 self.leave();
             }
             let event = self.event().await;
@@ -240,6 +247,7 @@
                 Event::Request(mut request) if self.refuses() => request.1.send_reset(Reason::REFUSED_STREAM),
                 Event::Request(request) => {
                     let (request, respond) = *request;
+                    self.asked = true;
                     let serve = stream::serve(self.front.shared.clone(), self.number, request, respond);
                     self.streams.push(Box::pin(serve));
                 }
@@ -275,9 +283,24 @@
         }
     }
 
+    /// Whether the program's stage asks it to go. One that has not asked yet was opened in order to: told at once, its
+    /// client would have connected for nothing.
+    fn is_to_leave(&self) -> bool {
+        match self.front.shared.stage() {
+            Stage::Serving => false,
+            Stage::Leaving | Stage::Empty => self.asked,
+            Stage::Closing => self.asked || self.front.clock.now() >= self.just_come_until,
+        }
+    }
+
     /// Whether requests that come now are turned down: the client was told to go, and has had time to hear it.
     fn refuses(&self) -> bool {
-        self.phase != Phase::Serving && self.front.shared.stage() == Stage::Closing
+        let heard = match self.phase {
+            Phase::Serving => false,
+            Phase::Leaving(since) => self.front.clock.now() >= since + HEARD,
+            Phase::Ending(_) => true,
+        };
+        heard && self.front.shared.stage() == Stage::Closing
     }
 
     fn ended(&mut self, end: End) {
@@ -297,8 +320,8 @@
     fn leave(&mut self) {
         if self.phase == Phase::Serving {
             self.h2.graceful_shutdown();
-            self.phase = Phase::Leaving;
             self.idle_since = self.front.clock.now();
+            self.phase = Phase::Leaving(self.idle_since);
         }
     }
 
@@ -320,7 +343,9 @@
                     _ => FAREWELL,
                 }
         });
-        half.into_iter().chain(idle).min().unwrap_or(Micros::MAX)
+        let closing = self.phase == Phase::Serving && self.front.shared.stage() == Stage::Closing;
+        let come = closing.then_some(self.just_come_until);
+        half.into_iter().chain(idle).chain(come).min().unwrap_or(Micros::MAX)
     }
 
     /// Something that had its time is over. False: the connection is to be dropped.
@@ -339,7 +364,7 @@
                 self.end();
             }
             Phase::Serving => self.leave(),
-            Phase::Leaving => {
+            Phase::Leaving(_) => {
                 self.h2.abrupt_shutdown(Reason::NO_ERROR);
                 self.end();
             }
--- a/crates/ploverport/tests/operation/main.rs
+++ b/crates/ploverport/tests/operation/main.rs
@@ -4,6 +4,7 @@
 mod coming_back;
 mod door;
 mod drain;
+mod restart;
 mod rig;
 mod settings;
 mod soak;
