--- a/crates/broker/src/front/accept.rs
+++ b/crates/broker/src/front/accept.rs
@@ -31,8 +31,16 @@
 ) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) if front.seats().make_room().await => take(&front, stream, &executor),
-            Ok((stream, _)) => front.turn_away(&stream),
+            Ok((stream, _)) => {
+                // Here it is not lost where accepting ends meanwhile.
+                front.seats().set_waiting(stream);
+                let room = front.seats().make_room().await;
+                match front.seats().take_waiting() {
+                    Some(stream) if room => take(&front, stream, &executor),
+                    Some(stream) => front.turn_away(&stream),
+                    None => {}
+                }
+            }
             Err(error) => {
                 warn!(name: "accept_failed", error = %error);
                 Timer::after(ACCEPT_PAUSE).await;
@@ -43,6 +51,13 @@
     }
 }
 
+/// Takes the one that waited for room as accepting ended, if any did.
+pub(super) fn accept_waiting<S: Serve>(front: &Rc<S>, executor: &LocalExecutor<'static>) {
+    if let Some(stream) = front.seats().take_waiting() {
+        take_or_turn_away(front, stream, executor);
+    }
+}
+
 /// Takes the connections that the system has accepted: their requests count as taken. Those that find no seat are told
 /// so, and not reset: they are as many as the system queues.
 pub(super) fn accept_rest<S: Serve>(
@@ -53,21 +68,24 @@
     while let Ok((stream, _)) = listener.get_ref().accept()
         && let Ok(stream) = Async::new(stream)
     {
-        if let Some(seat) = front.seats().try_take() {
-            executor.spawn(front.clone().serve(stream, seat)).detach();
-            continue;
-        }
-        front.turn_away(&stream);
-        // Counted, so that the process does not end before its client has read this.
-        let seat = front.seats().take();
-        let last = async move {
-            let _ = linger(&stream).await;
-            drop(seat);
-        };
-        executor.spawn(last).detach();
+        take_or_turn_away(front, stream, executor);
     }
 }
 
+fn take_or_turn_away<S: Serve>(front: &Rc<S>, stream: Async<TcpStream>, executor: &LocalExecutor<'static>) {
+    if let Some(seat) = front.seats().try_take() {
+        return executor.spawn(front.clone().serve(stream, seat)).detach();
+    }
+    front.turn_away(&stream);
+    // Counted, so that the process does not end before its client has read this.
+    let seat = front.seats().take();
+    let last = async move {
+        let _ = linger(&stream).await;
+        drop(seat);
+    };
+    executor.spawn(last).detach();
+}
+
 fn take<S: Serve>(front: &Rc<S>, stream: Async<TcpStream>, executor: &LocalExecutor<'static>) {
     let seat = front.seats().take();
     executor.spawn(front.clone().serve(stream, seat)).detach();
--- a/crates/broker/src/front/http1.rs
+++ b/crates/broker/src/front/http1.rs
@@ -37,7 +37,7 @@
 /// The front of HTTP/1.1.
 pub struct Http1 {
     shared: Rc<Shared>,
-    seats: Rc<Seats>,
+    pub(super) seats: Rc<Seats>,
 }
 
 /// How an idle connection goes on.
--- a/crates/broker/src/front/mod.rs
+++ b/crates/broker/src/front/mod.rs
@@ -106,14 +106,16 @@
     async fn close(&mut self, executor: &LocalExecutor<'static>) {
         if let Some((task, listener)) = self.accepting.take() {
             task.cancel().await;
+            accept::accept_waiting(&self.front, executor);
             accept::accept_rest(&self.front, &listener, executor);
         }
     }
 
     /// Accepts nothing further; what the system has accepted is left to whoever else holds the socket.
-    async fn leave(&mut self) {
+    async fn leave(&mut self, executor: &LocalExecutor<'static>) {
         if let Some((task, _)) = self.accepting.take() {
             task.cancel().await;
+            accept::accept_waiting(&self.front, executor);
         }
     }
 }
@@ -194,7 +196,7 @@
         }
         match self.inherited {
             // Whoever comes after us finds there what we do not take.
-            true => self.http1.leave().await,
+            true => self.http1.leave(&self.executor).await,
             false => self.http1.close(&self.executor).await,
         }
         if let Some(http2) = &mut self.http2 {
@@ -207,7 +209,7 @@
     /// Another process accepts at the same socket: new connections are its own from now on.
     pub async fn leave_to_next(&mut self) {
         if self.inherited {
-            self.http1.leave().await;
+            self.http1.leave(&self.executor).await;
         }
     }
 
@@ -361,6 +363,7 @@
             }
             for client in &clients {
                 (&*client).write_all(READY).await.unwrap();
+                yield_now().await;
             }
             for client in &clients {
                 assert!(next(client).await.starts_with("HTTP/1.1 503"));
@@ -368,4 +371,22 @@
             }
         });
     }
+
+    /// One that has been accepted and waits for room is no less taken.
+    #[test]
+    fn one_that_waits_for_room_is_answered_when_the_doors_close() {
+        let mut rig = Rig::new(1);
+        let _other = rig.listening.front.seats.take();
+        let client = rig.connect();
+        let executor = rig.executor.clone();
+        let mut listening = std::mem::replace(&mut rig.listening, Rig::new(1).listening);
+        rig.run(async {
+            while !listening.front.seats.has_waiting() {
+                yield_now().await;
+            }
+            listening.close(&executor).await;
+            assert!(next(&client).await.starts_with("HTTP/1.1 503"));
+            assert_eq!(next(&client).await, "");
+        });
+    }
 }
--- a/crates/broker/src/front/seats.rs
+++ b/crates/broker/src/front/seats.rs
@@ -1,10 +1,11 @@
 //! Seats for client connections: how many there are, and who makes room when they run out.
 
 use async_channel::{Receiver, Sender};
-use async_io::Timer;
+use async_io::{Async, Timer};
 use futures_lite::FutureExt;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::net::TcpStream;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tracing::warn;
@@ -49,6 +50,8 @@
     next: Cell<u64>,
     /// Connections that may be closed for want of room, by rank and age there: the first one first.
     spare: RefCell<BTreeMap<(Rank, u64), Leaver>>,
+    /// The one that has been accepted and waits for room.
+    waiting: RefCell<Option<Async<TcpStream>>>,
     /// Rung when a connection ends.
     room: (Sender<()>, Receiver<()>),
 }
@@ -117,6 +120,7 @@
             open: Cell::new(0),
             next: Cell::new(0),
             spare: RefCell::default(),
+            waiting: RefCell::default(),
             room: async_channel::bounded(1),
         })
     }
@@ -131,6 +135,21 @@
         self.open.get()
     }
 
+    /// Keeps one that waits for room. There is one at most, since accepting goes on only with its end.
+    pub(super) fn set_waiting(&self, stream: Async<TcpStream>) {
+        *self.waiting.borrow_mut() = Some(stream);
+    }
+
+    #[cfg(test)]
+    pub(super) fn has_waiting(&self) -> bool {
+        self.waiting.borrow().is_some()
+    }
+
+    /// Gives it up.
+    pub(super) fn take_waiting(&self) -> Option<Async<TcpStream>> {
+        self.waiting.borrow_mut().take()
+    }
+
     /// Takes a seat, whoever else is there.
     pub(super) fn take(self: &Rc<Self>) -> Seat {
         self.open.set(self.open.get() + 1);
