Test the seam's wiring: keys that come while two serve, and a way back that ends with a hand-over

Tried guards of the seam showed what no test held: words told while both processes serve, what a bad end means for the way back, and its end where another process serves. Each has a test now, and so has the last look at the socket before an answer that ends its connection.

--- a/crates/broker/src/coming.rs
+++ b/crates/broker/src/coming.rs
@@ -77,3 +77,46 @@
         Phase::Nothing => {}
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::queries::Queries;
+    use crate::rig::settings;
+    use plover_core::Core;
+
+    const TIMES: Times = Times { ask_for: 10, spread: 0, part_for: 100 };
+
+    fn told(way: &mut WayBack, now: Micros, what: Told<'_>) -> usize {
+        let mut wants = Vec::new();
+        way.told(now, what, &mut wants);
+        assert!(wants.iter().all(|want| matches!(want, Want::Open)));
+        wants.len()
+    }
+
+    #[test]
+    fn the_way_back_opens_with_the_list_and_heeds_how_queries_end() {
+        let (core, queries) = (Core::new(settings(), 10, 1), Queries::new(&settings(), &[], 10, 1, 0));
+        let view = View { core: &core, queries: &queries, rev: 0 };
+        let mut way = WayBack(Some(Coming::new(0, TIMES, 0.0)));
+        assert_eq!((told(&mut way, 1, Told::Heard(view)), way.due(1, view)), (1, None));
+        assert_eq!(way.shut(), Some("coming back: asking".to_owned()));
+        told(&mut way, 2, Told::List);
+        assert_eq!((told(&mut way, 2, Told::Heard(view)), way.shut()), (2, None));
+        assert_eq!(way.due(2, view), Some(102));
+        // A query that ended badly begins the wait anew.
+        told(&mut way, 50, Told::Ended { in_time: false });
+        assert_eq!(way.due(50, view), Some(150));
+    }
+
+    #[test]
+    fn one_that_goes_on_from_another_process_is_not_coming_back() {
+        let (core, queries) = (Core::new(settings(), 10, 1), Queries::new(&settings(), &[], 10, 1, 0));
+        let view = View { core: &core, queries: &queries, rev: 0 };
+        let mut way = WayBack(Some(Coming::new(0, TIMES, 0.0)));
+        assert_eq!((told(&mut way, 1, Told::TakenOver), way.shut(), way.due(1, view)), (1, None, None));
+        let mut census = Census::default();
+        way.count(&mut census);
+        assert_eq!(census.phase, None);
+    }
+}
--- a/crates/broker/src/front/mod.rs
+++ b/crates/broker/src/front/mod.rs
@@ -228,8 +228,11 @@
 mod tests {
     use super::seats::{Rank, Seats};
     use super::*;
+    use crate::inbox::Input;
+    use crate::operator::Operator;
     use futures_lite::AsyncWriteExt;
     use futures_lite::future::yield_now;
+    use plover_model::query::{Names, Reply};
     use plover_runtime::clock::limited;
     use plover_runtime::net::read_some;
     use std::net::TcpStream;
@@ -389,4 +392,39 @@
             assert_eq!(next(&client).await, "");
         });
     }
+
+    /// A request that came in the moment of the answer before it, and is not read yet, is answered on its connection.
+    #[test]
+    fn a_request_that_comes_with_the_answer_before_it_is_answered_too() {
+        const QUERY: &[u8] =
+            b"POST /lookup HTTP/1.1\r\nHost: a\r\nX-Request-Id: a\r\nContent-Length: 51\r\n\r\n\
+            {\"ranges\":[{\"range\":0,\"portion\":1}],\"predicate\":\"\"}";
+        let rig = Rig::new(2);
+        let names = Names { classes: vec!["lookup".to_owned()], ..Names::default() };
+        let routes = Operator::default().routes(&names.classes);
+        *rig.shared.terms.borrow_mut() =
+            Changing::new(Terms { names, settings: Some(crate::rig::settings()), routes });
+        rig.shared.set_stage(Stage::Leaving);
+        rig.run(async {
+            let client = rig.connect();
+            (&client).write_all(QUERY).await.unwrap();
+            let reply = loop {
+                if let Some(Input::Ask(_, _, _, reply)) = rig.shared.inbox.take().pop() {
+                    break reply;
+                }
+                yield_now().await;
+            };
+            (&client).write_all(READY).await.unwrap();
+            reply.try_send(Reply::Failed).unwrap();
+            let mut answers = String::new();
+            loop {
+                match next(&client).await {
+                    more if more.is_empty() => break,
+                    more => answers += &more,
+                }
+            }
+            assert!(answers.starts_with("HTTP/1.1 502") && answers.contains("HTTP/1.1 503"), "{answers}");
+            assert_eq!(answers.matches("Connection: close").count(), 1, "{answers}");
+        });
+    }
 }
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -16,6 +16,8 @@
 mod parts;
 mod queries;
 mod reload;
+#[cfg(test)]
+mod rig;
 pub mod run;
 mod turns;
 pub mod upstream;
--- a/crates/broker/src/parts.rs
+++ b/crates/broker/src/parts.rs
@@ -161,38 +161,11 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::rig::settings;
     use allocation_counter::measure;
-    use brookbend::api::{ColdRule, ListSource, Settings};
     use std::hint::black_box;
     use std::rc::Rc;
 
-    fn settings() -> Settings {
-        let cold = ColdRule { from: 0.2, warm_after: 10_000.0, fall_multiple: 2.0, fall_after: 2000.0 };
-        Settings {
-            classes: Vec::new(),
-            tenants: Vec::new(),
-            aggregators: 1,
-            zone: None,
-            over_share_worth: 1.0,
-            worth_by_work: false,
-            marks_again: false,
-            cells: 1,
-            reach: 1,
-            shards: 1,
-            batch: 1,
-            call_work: 0.0,
-            max_attempts: 3,
-            second_copies: false,
-            cancel: true,
-            max_retry_after: None,
-            tick: 5.0,
-            list: ListSource::Pushed,
-            ask_within: 10_000.0,
-            budget: None,
-            cold,
-        }
-    }
-
     fn ask() -> Ask {
         Ask {
             id: "a".into(),
--- a/crates/ploverport/tests/operation/upgrade.rs
+++ b/crates/ploverport/tests/operation/upgrade.rs
@@ -132,6 +132,37 @@
     );
 }
 
+/// What comes while both are there is known to the other before its part goes out.
+#[test]
+fn a_key_that_comes_to_either_is_in_hand_of_both() {
+    let shared = Shared::new("either");
+    let fleet = fleet(Duration::ZERO);
+    let mut old = shared.start(&fleet);
+    let _new = shared.start(&fleet);
+    old.logged("event=hand_over_joined older=false").unwrap();
+    fault(&fleet, Fault::Hang);
+    let _first = send(shared.address(), &save("a", "k1").patience(Duration::from_secs(4)));
+    while fleet.attempts().0 < 1 {
+        std::thread::sleep(Duration::from_millis(1));
+    }
+    fault(&fleet, Fault::None);
+    for n in 0..40 {
+        let answer = ask(shared.address(), &save(&format!("b{n}"), "k1"));
+        assert!(matches!(answer, Answer::Refused(_)), "{n}: {answer:?}");
+    }
+}
+
+/// One that is to come back in step with its fleet begins at once where its old process serves: it was never away.
+#[test]
+fn a_new_one_beside_one_that_serves_is_not_coming_back() {
+    let shared = Shared::new("not-back");
+    let fleet = fleet(Duration::ZERO);
+    let _old = shared.start(&fleet);
+    fleet.silence_discovery(true);
+    let new = shared.start_with(&fleet, "come-back-fleet 4\ncome-back-ask 10min\n");
+    assert_eq!(call(&new, "GET", "/api/ready"), (200, "serving\n".into()));
+}
+
 /// An id in hand at one process is refused by the other.
 #[test]
 fn an_id_is_in_hand_once() {
