Stay for connected clients after SIGTERM for as long as they can be answered

A line at each end of a connection: nothing ended without an answer on either broker, all answers were 200. The logs: one broker is told to end 3 s after the other and 0.9 s before that one is back; with two brokers there is nobody to send new connections to, and ours closed the ones there were, each with its next answer, the rest 0.6 s after the signal, or after 250 ms as idle in a crowd. Ruled out: the crowd's full seats (nobody was turned away), the module (no refusal), resets. At fault: Life::terminate() went to Leaving at once, whose stage ends each connection with its answer; first_bytes() in front/http1.rs closed kept connections as idle. The change: Staying, before Leaving: fronts send nobody new, but connections that are there stay open and are served, until what comes can only just be answered before the platform may end the process (the clients' longest deadline, 3 s at the most, and 0.7 s). What comes after the signal is over 0.25 s before that, whatever its client would wait. Left out where a newer process serves beside, and after an emptying.

--- a/crates/broker/src/doors.rs
+++ b/crates/broker/src/doors.rs
@@ -37,13 +37,14 @@
         }
     }
 
-    /// The program is to end.
-    pub(crate) fn terminate(&mut self, now: Micros, open_queries: usize) {
-        let effect = self.life.terminate(now);
+    /// The program is to end; clients that are connected may stay for so long. False: it was to end already.
+    pub(crate) fn terminate(&mut self, now: Micros, stay: Micros, open_queries: usize) -> bool {
+        let effect = self.life.terminate(now, stay);
         if effect != Effect::None {
             info!(name: "leaving", open_queries);
         }
         self.go(effect, false);
+        effect != Effect::None
     }
 
     /// Heeds an operator's call: a status, and a text. `shut` says why a part keeps the broker from being ready.
@@ -76,6 +77,7 @@
     pub(crate) async fn turn(&mut self, now: Micros, superseded: bool) -> bool {
         if self.life.is_ending() && superseded {
             self.fronts.leave_to_next().await;
+            self.life.superseded(now);
         }
         let effect = self.life.tick(now);
         self.go(effect, false);
--- a/crates/broker/src/front/http1.rs
+++ b/crates/broker/src/front/http1.rs
@@ -119,12 +119,12 @@
             };
             let (response, usable) = self.answer(number, &message.value, &stream, &mut input).await?;
             let stage = self.shared.stage();
-            if stage != Stage::Serving && input.is_empty() {
+            if stage > Stage::Staying && input.is_empty() {
                 // A request behind this one was sent before its client could know that the connection ends.
                 let _ = read_some(&stream, &mut input).or(async { Ok(0) }).await;
             }
             let stays = match stage {
-                Stage::Serving => true,
+                Stage::Serving | Stage::Staying => true,
                 Stage::Leaving | Stage::Empty => !input.is_empty(),
                 Stage::Closing => !input.is_empty() && last_ones > 0,
             };
@@ -163,7 +163,7 @@
             true => self.seats.idle_time(),
             // Nobody is sent here any more but by fronts that notice late: they speak at once.
             false => match self.shared.stage() {
-                Stage::Serving | Stage::Leaving => SILENCE,
+                Stage::Serving | Stage::Staying | Stage::Leaving => SILENCE,
                 Stage::Empty => SILENCE_EMPTY,
                 // The system had accepted it before the doors closed: its request is on its way.
                 Stage::Closing => JUST_COME,
@@ -180,6 +180,10 @@
             };
             let silent = async {
                 silent.await;
+                if served && self.shared.stage() == Stage::Staying {
+                    // Its client may have nowhere else to go, and nobody new wants its seat: it is closed with all others.
+                    futures_lite::future::pending::<()>().await;
+                }
                 false
             };
             Ok(if room.or(silent).await { Idle::Room } else { Idle::Over })
--- a/crates/broker/src/front/http2/mod.rs
+++ b/crates/broker/src/front/http2/mod.rs
@@ -287,7 +287,7 @@
     /// client would have connected for nothing.
     fn is_to_leave(&self) -> bool {
         match self.front.shared.stage() {
-            Stage::Serving => false,
+            Stage::Serving | Stage::Staying => false,
             Stage::Leaving | Stage::Empty => self.asked,
             Stage::Closing => self.asked || self.front.clock.now() >= self.just_come_until,
         }
--- a/crates/broker/src/front/mod.rs
+++ b/crates/broker/src/front/mod.rs
@@ -230,6 +230,7 @@
     use super::*;
     use crate::inbox::Input;
     use crate::operator::Operator;
+    use async_io::Timer;
     use futures_lite::AsyncWriteExt;
     use futures_lite::future::yield_now;
     use plover_model::query::{Names, Reply};
@@ -329,6 +330,25 @@
         }
     }
 
+    /// While the broker stays for those who are connected, none of them is closed as idle, however many seats are taken.
+    #[test]
+    fn who_is_connected_is_kept_while_the_broker_stays() {
+        let rig = Rig::new(2);
+        rig.run(async {
+            let client = rig.connect();
+            (&client).write_all(READY).await.unwrap();
+            assert!(next(&client).await.starts_with("HTTP/1.1 200"));
+            rig.shared.set_stage(Stage::Staying);
+            Timer::after(2 * seats::IDLE_PRESSED).await;
+            (&client).write_all(READY).await.unwrap();
+            let answer = next(&client).await;
+            assert!(answer.starts_with("HTTP/1.1 503") && !answer.contains("Connection: close"), "{answer}");
+            rig.shared.set_stage(Stage::Empty);
+            rig.listening.front.close_idle();
+            assert_eq!(next(&client).await, "");
+        });
+    }
+
     /// The same where the answer said that it is the last.
     #[test]
     fn a_request_behind_the_last_answer_meets_no_reset() {
--- a/crates/broker/src/turns.rs
+++ b/crates/broker/src/turns.rs
@@ -20,7 +20,7 @@
 use plover_model::query::{Ask, AttemptId, QueryId, Reply};
 use plover_model::server::{ListScope, Outcome, Targets};
 use plover_model::time::{Micros, millis};
-use plover_ops::{Call, Census};
+use plover_ops::{Call, Census, Ending};
 use plover_pacing::Pacing;
 use plover_query::BINDS;
 use plover_runtime::clock::Clock;
@@ -131,7 +131,7 @@
                     }
                 }
                 Input::Reload => self.reload(now),
-                Input::Terminate => self.doors.terminate(now, self.queries.len()),
+                Input::Terminate => self.terminate(now),
                 // Its part has heard it above.
                 Input::Part => {}
                 Input::Operator(call, answer) => calls.push((call, answer)),
@@ -182,6 +182,16 @@
         }
     }
 
+    /// Clients that are connected are served for as long as that can be over before the process is ended.
+    fn terminate(&mut self, now: Micros) {
+        let ending = Ending::of(self.core.longest_wait());
+        let superseded = self.parts.beside().is_some_and(Neighbours::has_newer);
+        let stay = if superseded { 0 } else { ending.stay };
+        if self.doors.terminate(now, stay, self.queries.len()) {
+            self.core.answer_by(now + ending.answer);
+        }
+    }
+
     /// Takes queries up, so far as all parts let them in.
     fn admit(&mut self, now: Micros, asks: Vec<Asked>) -> Vec<Query> {
         self.core.set_elsewhere(self.parts.beside().map_or(0, Neighbours::units));
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -146,6 +146,8 @@
     staged: Vec<Event>,
     wake_at: Option<Micros>,
     places: Places,
+    /// What comes is over by then: the program is to end.
+    answer_by: Micros,
     /// Until then a query has so many attempts at the most: those of the settings before.
     attempts_before: Option<(Micros, u32)>,
 }
@@ -155,6 +157,7 @@
     pub fn new(settings: Settings, max_open: usize, seed: u64) -> Self {
         Core {
             places: Places::new(&settings, &Names::default()),
+            answer_by: Micros::MAX,
             attempts_before: None,
             aggregator: Aggregator::new(settings.clone(), seed),
             settings,
@@ -191,6 +194,16 @@
         self.aggregator.retune(self.shared_settings(), &placed.begun);
     }
 
+    /// Queries that come from now on are over by then, whatever their clients would wait.
+    pub fn answer_by(&mut self, at: Micros) {
+        self.answer_by = at;
+    }
+
+    /// The longest time that a client of any class waits.
+    pub fn longest_wait(&self) -> Micros {
+        self.settings.classes.iter().map(|c| millis(c.give_up)).max().unwrap_or(0)
+    }
+
     /// The room that queries of other processes of this broker take.
     pub fn set_elsewhere(&mut self, units: usize) {
         self.elsewhere = units;
@@ -284,7 +297,7 @@
             }
             self.held += needs;
             let time_out = q.limits.time_out.map_or(Micros::MAX, |time_out| now.saturating_add(time_out));
-            let give_up_at = q.give_up_at.min(time_out);
+            let give_up_at = q.give_up_at.min(time_out).min(self.answer_by);
             self.ends.insert((give_up_at, q.id));
             let attempt_time_out = q.limits.attempt_time_out.unwrap_or(Micros::MAX);
             let attempts = vec![0; q.parts.len()];
--- a/crates/ops/src/lib.rs
+++ b/crates/ops/src/lib.rs
@@ -10,4 +10,4 @@
 
 pub use call::{BadCall, Call, decode};
 pub use figures::{Books, Census, End, Row};
-pub use life::{DOORS, Effect, Life, Refused, Stage};
+pub use life::{DOORS, Effect, Ending, Life, Refused, Stage};
