Give each class its own repeat window, and keyed parts their second copies

A site without a keyed class had a window of five seconds that no setting gave. A repeatable class never met it, but a class whose repeats take effect did: under its client's key a part that may have run was sent again. Each class now brings its own window to the register, and such a class has none.

Where the settings allow second copies, the register held them back, and the query failed with the first one. It lets them go now. Two attempts at a part could also share a connection, where their answers cannot be told apart: one was lost, and the other closed the connection as spoilt. The pool takes another connection for the second.

--- a/crates/broker/src/queries.rs
+++ b/crates/broker/src/queries.rs
@@ -19,8 +19,6 @@
 
 /// Most idempotency keys that are remembered, with two to three hundred bytes each.
 const KEYS: usize = 8192;
-/// Window of a deployment without keyed classes: nothing is ever registered there.
-const NO_WINDOW: Micros = 5_000_000;
 
 /// A query in hand. Dropping it drops the way to its client, so it is dropped with its one reply.
 struct Pending {
@@ -45,14 +43,23 @@
     1 + ask.parts.len()
 }
 
-/// For how long repeats of a part are dropped, at the least, and how long clients come back after that.
-fn repeat_times(settings: &Settings) -> (Micros, Micros) {
-    let window = settings.classes.iter().filter_map(|c| match c.semantics {
+/// Of each class: for how long data servers drop repeats of a part; not at all where a repeat takes effect again. `None`:
+/// repeats are harmless, and nothing is registered.
+fn windows(settings: &Settings) -> Vec<Option<Micros>> {
+    let window = |semantics| match semantics {
         Semantics::Keyed { window } => Some(millis(window)),
-        _ => None,
-    });
+        Semantics::Unsafe => Some(0),
+        Semantics::Safe => None,
+    };
+    settings.classes.iter().map(|c| window(c.semantics)).collect()
+}
+
+/// For how long repeats are dropped in the class that has them dropped for longest, if any has, and how long clients come
+/// back after that.
+fn repeat_times(settings: &Settings) -> (Micros, Micros) {
+    let window = windows(settings).into_iter().flatten().max();
     let keep = settings.classes.iter().map(|c| millis(c.give_up)).max();
-    (window.min().unwrap_or(NO_WINDOW), keep.unwrap_or(0))
+    (window.unwrap_or(0), keep.unwrap_or(0))
 }
 
 /// For so long after an unknown process has gone may its keys come back: while data servers drop repeats, and clients ask.
@@ -117,6 +124,8 @@
     ids: BTreeSet<Rc<str>>,
     shares: Shares,
     repeats: Repeats,
+    /// Of each class, by its index.
+    windows: Vec<Option<Micros>>,
     gate: Gate,
     /// Attempts that are out under a key.
     keyed: BTreeMap<AttemptId, (Rc<str>, usize)>,
@@ -142,11 +151,14 @@
         let mut books = Books::default();
         let rows = classes.iter().map(|name| books.row(name)).collect();
         let (window, keep) = repeat_times(settings);
+        let mut repeats = Repeats::new(window, keep, KEYS);
+        repeats.allow_copies(settings.second_copies);
         Queries {
             pending: BTreeMap::new(),
             ids: BTreeSet::new(),
             shares: Shares::new(room),
-            repeats: Repeats::new(window, keep, KEYS),
+            repeats,
+            windows: windows(settings),
             gate: Gate::new(seed),
             keyed: BTreeMap::new(),
             max_retry_after: settings.max_retry_after.map(millis),
@@ -200,6 +212,8 @@
     pub(crate) fn retune(&mut self, settings: &Settings, classes: &[String], room: usize) {
         let (window, keep) = repeat_times(settings);
         self.repeats.retune(window, keep);
+        self.repeats.allow_copies(settings.second_copies);
+        self.windows = windows(settings);
         self.shares.set_room(room);
         self.max_retry_after = settings.max_retry_after.map(millis);
         self.rows = classes.iter().map(|name| self.books.row(name)).collect();
@@ -272,12 +286,13 @@
             }
         };
         let give_up_at = now + ask.patience;
-        if let Some(key) = &ask.key {
+        let window = self.windows.get(ask.class).copied().flatten();
+        if let (Some(key), Some(window)) = (&ask.key, window) {
             let shards = ask.parts.iter().map(|p| p.shard);
             // What another process may be sending unknown to us counts as this key's.
             let verdict = match beside.keyed(now) {
                 Keyed::Wait(until) => Verdict::Busy(until.min(give_up_at)),
-                Keyed::May => self.repeats.open(now, key, shards, give_up_at),
+                Keyed::May => self.repeats.open(now, key, shards, give_up_at, window),
             };
             if verdict != Verdict::Serve {
                 self.shares.give_back(connection, units);
@@ -419,3 +434,6 @@
 
 /// Shard and value of each part that is in.
 pub(crate) type Values = Vec<(usize, String)>;
+
+#[cfg(test)]
+mod tests;
--- a/crates/broker/src/upstream/mod.rs
+++ b/crates/broker/src/upstream/mod.rs
@@ -205,7 +205,7 @@
     }
 
     fn call(&mut self, now: Micros, server: &NodeId, sends: Vec<Send>) {
-        let Some(id) = self.conn_for(now, server, sends.len()) else {
+        let Some(id) = self.conn_for(now, server, &sends) else {
             let never = |s: Send| Ended {
                 attempt: s.attempt,
                 outcome: Outcome::NoConnection,
@@ -229,14 +229,17 @@
         conn.line.put(Item::Call(parts));
     }
 
-    /// A connection with room for so many parts: of the idle ones that which rested for longest, since a server
+    /// A connection with room for these parts, on which none of them is out yet: parts go by their ids there, and the answers
+    /// to two attempts at one could not be told apart. Of the idle ones that which rested for longest, since a server
     /// may close one right after its answer, and a part that crosses the closing ends as a reset; else a new one,
     /// up to a few for each server; else the emptiest.
-    fn conn_for(&mut self, now: Micros, name: &NodeId, parts: usize) -> Option<u64> {
+    fn conn_for(&mut self, now: Micros, name: &NodeId, parts: &[Send]) -> Option<u64> {
         let server = self.servers.get(name)?;
         let endpoint = server.endpoint?;
         let open = server.conns.iter().filter_map(|id| Some((*id, self.conns.get(id)?)));
-        let takes = |c: &Conn| !c.retiring && c.out.len() + parts <= self.limits.multiplex;
+        let apart = |c: &Conn| parts.iter().all(|s| !c.out.contains_key(&s.wire));
+        let room = |c: &Conn| c.out.len() + parts.len() <= self.limits.multiplex;
+        let takes = |c: &Conn| !c.retiring && room(c) && apart(c);
         let roomy = open.filter(|(_, c)| takes(c) && !self.is_suspect(now, server, c));
         let best = roomy.min_by_key(|(_, c)| (c.out.len(), c.used));
         let most = (self.limits.sockets / self.servers.len().max(1)).clamp(1, PER_SERVER);
--- a/crates/broker/src/upstream/tests.rs
+++ b/crates/broker/src/upstream/tests.rs
@@ -71,6 +71,21 @@
     assert_eq!(pool.conns[&1].out.len(), 1);
 }
 
+/// Parts go by their ids: two attempts at one on one connection would have one answer.
+#[test]
+fn a_second_copy_at_the_same_server_goes_on_another_connection() {
+    let (mut pool, _listener) = pool(PoolLimits { sockets: 2, ..limits() });
+    pool.dispatch(0, sends(1, 1));
+    pool.dispatch(10, sends(2, 1));
+    let copy = |s: Send| Send { attempt: AttemptId { attempt: 1, ..s.attempt }, ..s };
+    pool.dispatch(20, sends(1, 1).into_iter().map(copy).collect());
+    assert_eq!(pool.conns.values().map(|c| c.out.len()).collect::<Vec<_>>(), [1, 2]);
+    pool.hear(30, 0, answer("q1.0"));
+    pool.hear(40, 1, answer("q1.0"));
+    assert_eq!(outcomes(&mut pool, 50), [Outcome::Served, Outcome::Served]);
+    assert_eq!(pool.out(), 1);
+}
+
 /// The end of a connection that had come up is no news of whether its server can be reached.
 #[test]
 fn what_waits_behind_a_connection_that_was_up_is_not_sent() {
