Try every setting absent, null and zero: a site is served, or the key is named

Settings that the first site always gave had never been left out. Each is now an error that names the key. Advice to come back after 0 ms is no advice, and a span alone rations nothing.

--- a/crates/brookbend/src/settings.rs
+++ b/crates/brookbend/src/settings.rs
@@ -195,7 +195,8 @@
         rules.opt_number("ExtraRatio")?,
         rules.opt_number("RatioSpan")?,
     ) {
-        (None, None, None) => None,
+        // A span alone rations nothing.
+        (None, None, _) => None,
         (spare, per_request, Some(span)) => {
             Some(AttemptBudget { spare: spare.unwrap_or(0.0), per_request: per_request.unwrap_or(0.0), span })
         }
@@ -226,7 +227,8 @@
         second_copies: allowed.flag("SecondCopies")?,
         cancel: allowed.flag("Cancel")?,
         max_retry_after: if allowed.flag("RetryAfter")? {
-            allowed.opt_number("MaxRetryAfter")?
+            // Advice to come back after no time is none.
+            allowed.opt_number("MaxRetryAfter")?.filter(|most| *most > 0.0)
         } else {
             None
         },
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -169,9 +169,12 @@
     if site.settings.classes.iter().any(|c| c.second_step) {
         return env.bad("FamilyInfo", "asks for a second step (FetchParts), which the protocol cannot carry");
     }
-    for (field, figure) in
-        [("Positions", site.settings.cells), ("Shards", site.settings.shards), ("Batch", site.settings.batch)]
-    {
+    for (field, figure) in [
+        ("Positions", site.settings.cells),
+        ("Shards", site.settings.shards),
+        ("Width", site.settings.reach),
+        ("Batch", site.settings.batch),
+    ] {
         if !(1..=1_000_000).contains(&figure) {
             return env.inner("FamilyInfo")?.bad(field, "is out of bounds");
         }
@@ -246,6 +249,7 @@
 /// Most classes, most tenants, and most queries and parts in hand: far beyond what anybody means.
 const MOST_NAMES: usize = 128;
 const MOST_OPEN: u64 = 10_000_000;
+const MOST_BROKERS: usize = 1_000_000;
 
 /// Figures that cannot be meant. Each would make the broker fail every query, or none ever.
 fn bounds(m: &Message, site: &Site) -> Result<(), String> {
@@ -266,10 +270,36 @@
         if !((0.0..1e9).contains(&class.worth) && share(class.late_worth)) {
             return bad("Gain or LateWorth");
         }
-        if !share(class.need) || !share(class.floor) || !(0.0..=1e3).contains(&class.partial_earns) {
+        // Whole with nothing in, or whole with less than an answer may be given from: neither can be kept to.
+        let needs = class.need > 0.0 && class.floor <= class.need;
+        if !(share(class.need) && share(class.floor) && needs && (0.0..=1e3).contains(&class.partial_earns)) {
             return m.inner("FamilyInfo")?.bad("ClassNeed", "or MinShare or PartialEarns is out of bounds");
         }
     }
+    for class in m.objects("Services")? {
+        let keyed = class.get("Semantics").is_some_and(|s| s == "by_key");
+        if keyed && class.get("DedupScope").is_some_and(|scope| scope != "all") {
+            return class.bad("DedupScope", "is not \"all\": the holders of a shard would not drop a repeat");
+        }
+    }
+    if !(0.0..=LONGEST_MS).contains(&site.settings.call_work) {
+        return m.inner("FamilyInfo")?.bad("Call", "is out of bounds");
+    }
+    if !(1..=MOST_BROKERS).contains(&site.settings.aggregators) {
+        return m.bad("PeersTotal", "is out of bounds");
+    }
+    if !share(site.settings.over_share_worth) {
+        return m.bad("OverShareWorth", "is out of bounds");
+    }
+    if m.get("WorthBy").is_some_and(|by| by != "work" && by != "request") {
+        return m.bad("WorthBy", "is unknown");
+    }
+    if site.tenant_names.iter().any(String::is_empty) {
+        return m.bad("Projects", "holds a tenant without a name");
+    }
+    if site.settings.tenants.iter().any(|t| !(0.0..=1e9).contains(&t.quota_per_s)) {
+        return m.bad("Projects", "holds a tenant whose QuotaPerS is out of bounds");
+    }
     for (names, field) in [(&site.class_names, "Services"), (&site.tenant_names, "Projects")] {
         if names.len() > MOST_NAMES {
             return m.bad(field, &format!("holds more than {MOST_NAMES}"));
@@ -295,6 +325,14 @@
     }
     let cold = &site.settings.cold;
     let rules = m.inner("Rules")?;
+    if let Some(budget) = site.settings.budget {
+        if !time(budget.span) {
+            return rules.bad("RatioSpan", "is out of bounds");
+        }
+        if !((0.0..=1e9).contains(&budget.spare) && (0.0..=1e3).contains(&budget.per_request)) {
+            return rules.bad("SpareAttempts", "or ExtraRatio is out of bounds");
+        }
+    }
     if !share(cold.from) || !(0.0..=LONGEST_MS).contains(&cold.warm_after) {
         return rules.bad("ColdFrom", "or Cold is out of bounds");
     }
--- a/crates/frames/src/lib.rs
+++ b/crates/frames/src/lib.rs
@@ -190,7 +190,7 @@
         assert!(decode(&frame(b'x', b"")).is_err());
         assert!(decode(&[0, 0, 0, 0]).is_err());
         assert!(decode(&[255, 0, 0, 0]).is_err());
-        for report in ["-", "rif=NaN", "rif=-1", "rif", "rate=1"] {
+        for report in ["-", "rif=NaN", "rif=-1", "rif", "rate=1", "util=0.61", "busy=0.61,lat_ms=7"] {
             let bytes = frame(b'q', format!("i later 0 {report}\n").as_bytes());
             let Ok(Some((FromServer::Answer { held, outcome, .. }, _))) = decode(&bytes) else { panic!() };
             assert_eq!((held, outcome), (None, Outcome::Full));
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -27,11 +27,19 @@
     pub work: Duration,
     /// After a start a server is warm after this time.
     pub warm_after: Duration,
+    /// Whether answers carry a load report.
+    pub reports: bool,
 }
 
 impl Default for Plan {
     fn default() -> Self {
-        Plan { servers: 4, cells: 1, work: Duration::from_millis(2), warm_after: Duration::from_secs(10) }
+        Plan {
+            servers: 4,
+            cells: 1,
+            work: Duration::from_millis(2),
+            warm_after: Duration::from_secs(10),
+            reports: true,
+        }
     }
 }
 
@@ -110,6 +118,7 @@
                     switch: handle.switch,
                     books: shared_books.clone(),
                     held: Cell::new(0),
+                    reports: plan.reports,
                     count: Cell::new(0),
                     alive: RefCell::new(async_channel::bounded(1)),
                 });
