--- a/crates/broker/src/queries/tests.rs
+++ b/crates/broker/src/queries/tests.rs
@@ -73,6 +73,8 @@
         let id = ask(&mut q, 0, 1, 1, "k").unwrap();
         send(&mut q, 0, id, 0).unwrap();
         assert_eq!(send(&mut q, 10, id, 1).is_ok(), allowed);
+        q.retune(&settings(|s| s.second_copies = !allowed), &["lookup".into(), "save".into()], 100);
+        assert_eq!(send(&mut q, 20, id, 2).is_ok(), !allowed, "as the settings are now");
     }
 }
 
@@ -86,4 +88,7 @@
     let mut q = queries(&none);
     ask(&mut q, 0, 1, 1, "k").unwrap();
     assert!(ask(&mut q, 10, 2, 1, "k").is_ok());
+    q.retune(&settings(|_| ()), &["lookup".into(), "save".into()], 100);
+    ask(&mut q, 20, 3, 1, "k").unwrap();
+    assert!(ask(&mut q, 30, 4, 1, "k").is_err(), "it has one again, and is in hand");
 }
--- a/crates/core/tests/settings.rs
+++ b/crates/core/tests/settings.rs
@@ -274,12 +274,26 @@
         // A span without a ratio rations nothing; a ratio without its span is no rule that could be kept.
         settings["Rules"]["RatioSpan"] = json!(10_000);
         holds(&settings, site, None);
+        assert!(check(&configuration(&settings), |_| None).unwrap().settings.budget.is_none());
         settings["Rules"]["RatioSpan"] = Value::Null;
         settings["Rules"]["ExtraRatio"] = json!(0.1);
         holds(&settings, site, Some("RatioSpan"));
     }
 }
 
+/// Clients that are told to come back after no time would all be back at once.
+#[test]
+fn advice_of_no_time_is_none() {
+    for (most, advice) in
+        [(json!(500.0), Some(500.0)), (json!(0), None), (json!(-1), None), (Value::Null, None)]
+    {
+        let mut settings: Value = serde_json::from_str(SITES[1].1).unwrap();
+        settings["Allowed"]["MaxRetryAfter"] = most;
+        let config = check(&configuration(&settings), |_| None).unwrap();
+        assert_eq!(config.settings.max_retry_after, advice);
+    }
+}
+
 /// What no figure can be, of a wrong kind, or against another.
 #[test]
 fn what_cannot_be_meant_is_named() {
@@ -302,6 +316,12 @@
         *settings.pointer_mut(path).unwrap() = value;
         holds(&settings, path, Some(name));
     }
+    // Nothing needed is whole with nothing in.
+    let mut settings: Value = serde_json::from_str(SITES[0].1).unwrap();
+    for key in ["ClassNeed", "MinShare"] {
+        settings["FamilyInfo"][key] = json!([0, 0, 0]);
+    }
+    holds(&settings, "no need", Some("ClassNeed"));
     // Repeats of a class that has no key may be dropped by whom they like.
     let mut settings: Value = serde_json::from_str(SITES[0].1).unwrap();
     settings["Services"][0]["DedupScope"] = json!("cell");
