--- a/crates/core/tests/day.rs
+++ b/crates/core/tests/day.rs
@@ -14,18 +14,57 @@
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::{Rng, SeedableRng};
 use serde_json::{Value, json};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
 const TICK: Micros = 5 * MILLI;
 const LENGTH: Micros = 40 * SECOND;
 /// The list tells this long after a server went or came.
 const NOTICE: Micros = 1500 * MILLI;
-/// One server takes parts and answers none; another dies, and is back cold.
-const HUNG: (Micros, Micros) = (8 * SECOND, 15 * SECOND);
-const DEAD: (Micros, Micros) = (18 * SECOND, 25 * SECOND);
-/// So many times the usual traffic.
-const BURST: (Micros, Micros, f64) = (30 * SECOND, 35 * SECOND, 2.0);
+
+/// What happens on a day.
+#[derive(Clone, Copy)]
+enum Event {
+    /// It takes parts and answers none, or no longer.
+    Hangs(usize, bool),
+    /// Its process ends, and its connections with it.
+    Dies(usize),
+    /// It is back, cold.
+    Starts(usize),
+    /// What the list tells of it.
+    Told(usize, NodeState),
+    /// So many times the usual traffic.
+    Traffic(f64),
+}
+
+/// One server hangs, another dies and is back cold, and last comes a burst.
+fn failures(_: usize) -> Vec<(Micros, Event)> {
+    vec![
+        (8 * SECOND, Event::Hangs(0, true)),
+        (15 * SECOND, Event::Hangs(0, false)),
+        (18 * SECOND, Event::Dies(1)),
+        (18 * SECOND + NOTICE, Event::Told(1, NodeState::Gone)),
+        (25 * SECOND, Event::Starts(1)),
+        (25 * SECOND + NOTICE, Event::Told(1, NodeState::Serving)),
+        (30 * SECOND, Event::Traffic(2.0)),
+        (35 * SECOND, Event::Traffic(1.0)),
+    ]
+}
+
+/// A release: one server after another drains, ends, and is back cold, within half a minute.
+fn release(servers: usize) -> Vec<(Micros, Event)> {
+    let one = |n: usize| {
+        let at = 3 * SECOND + n as Micros * 30 * SECOND / servers as Micros;
+        let steps = [
+            (0, Event::Told(n, NodeState::Draining)),
+            (SECOND, Event::Dies(n)),
+            (2 * SECOND, Event::Starts(n)),
+            (2 * SECOND + NOTICE, Event::Told(n, NodeState::Serving)),
+        ];
+        steps.map(|(after, event)| (at / TICK * TICK + after, event))
+    };
+    (0..servers).flat_map(one).collect()
+}
 
 struct Chance(Pcg64Mcg);
 
@@ -95,6 +134,8 @@
     speed: f64,
     jobs: Vec<Job>,
     started: Option<Micros>,
+    hangs: bool,
+    up: bool,
 }
 
 const CORES: usize = 2;
@@ -139,12 +180,17 @@
     reports: Vec<Vec<Report>>,
     by_class: Account,
     by_tenant: Account,
+    /// Of each class: queries that were whole in time, late, in part, refused, and failed.
+    ends: BTreeMap<usize, [u32; 5]>,
     chance: Chance,
     next: QueryId,
+    /// What is to come, by its time.
+    ahead: VecDeque<(Micros, Event)>,
+    traffic: f64,
 }
 
 impl Day {
-    fn new(load: &'static Load) -> Self {
+    fn new(load: &'static Load, events: impl Fn(usize) -> Vec<(Micros, Event)>) -> Self {
         let mut settings: Value = serde_json::from_str(load.site).unwrap();
         settings["PeersTotal"] = json!(load.brokers);
         let config = json!({"name": "n", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "7",
@@ -158,6 +204,8 @@
             speed: if n.is_multiple_of(3) { 0.75 } else { 1.0 },
             jobs: Vec::new(),
             started: None,
+            hangs: false,
+            up: true,
         };
         let servers: Vec<Server> = (0..3 * set.cells).map(server).collect();
         let broker = |n: usize| {
@@ -167,7 +215,11 @@
             core.learn(ListScope::Known, list);
             core
         };
+        let mut ahead = events(servers.len());
+        ahead.sort_by_key(|(at, _)| *at);
         Day {
+            ahead: ahead.into(),
+            traffic: 1.0,
             cores: (0..load.brokers).map(broker).collect(),
             reports: vec![Vec::new(); load.brokers],
             load,
@@ -177,6 +229,7 @@
             out: BTreeMap::new(),
             by_class: Account::new(),
             by_tenant: Account::new(),
+            ends: BTreeMap::new(),
             chance: Chance(Pcg64Mcg::seed_from_u64(5)),
             next: 1,
         }
@@ -193,11 +246,10 @@
     }
 
     fn arrivals(&mut self, now: Micros) -> Vec<Query> {
-        let burst = if (BURST.0..BURST.1).contains(&now) { BURST.2 } else { 1.0 };
         let mut queries = Vec::new();
         let each = 8;
         for _ in 0..each {
-            if self.chance.random() >= burst * self.rate() / f64::from(each) {
+            if self.chance.random() >= self.traffic * self.rate() / f64::from(each) {
                 continue;
             }
             let class = self.chance.pick(&self.load.classes.iter().map(|c| c.0).collect::<Vec<_>>());
@@ -245,10 +297,23 @@
         let class = &self.set.classes[open.class];
         let asked = if self.set.worth_by_work { open.parts.iter().map(|p| p.1).sum() } else { 1.0 };
         let have: f64 = open.parts.iter().filter(|p| p.2).map(|p| p.0).sum();
+        let late = (now - open.asked) as f64 / 1000.0 > class.aim;
+        let end = match verdict {
+            Verdict::Answer { .. } if late => 1,
+            Verdict::Answer { whole } => {
+                if whole {
+                    0
+                } else {
+                    2
+                }
+            }
+            Verdict::Refuse { .. } => 3,
+            Verdict::Fail => 4,
+        };
+        self.ends.entry(open.class).or_default()[end] += 1;
         let earned = match verdict {
             Verdict::Answer { whole } => {
                 assert!(have + 1e-4 >= if whole { class.need } else { class.floor }, "{have} is too little");
-                let late = (now - open.asked) as f64 / 1000.0 > class.aim;
                 let share = if whole { 1.0 } else { class.partial_earns * have / class.need };
                 share * if late { class.late_worth } else { 1.0 }
             }
@@ -271,7 +336,7 @@
         for d in decisions.dispatches {
             let server: usize = d.server.0[1..].parse().unwrap();
             self.out.insert((broker, d.attempt), (now, d.until, server));
-            if (DEAD.0..DEAD.1).contains(&now) && server == 1 {
+            if !self.servers[server].up {
                 self.ended(now, broker, d.attempt, Outcome::NoConnection);
                 continue;
             }
@@ -290,27 +355,29 @@
         self.cores.iter_mut().for_each(|core| core.learn(ListScope::Changes, vec![info.clone()]));
     }
 
-    fn troubles(&mut self, now: Micros) {
-        if now == DEAD.0 {
-            let lost: Vec<_> = self.servers[1].jobs.drain(..).map(|j| (j.broker, j.attempt)).collect();
-            lost.into_iter().for_each(|(b, a)| self.ended(now, b, a, Outcome::ConnectionLost));
-        }
-        if now == DEAD.0 + NOTICE {
-            self.tell(1, NodeState::Gone);
-        }
-        if now == DEAD.1 {
-            self.servers[1].started = Some(now);
-        }
-        if now == DEAD.1 + NOTICE {
-            self.tell(1, NodeState::Serving);
+    fn happens(&mut self, now: Micros, event: Event) {
+        match event {
+            Event::Hangs(n, hangs) => self.servers[n].hangs = hangs,
+            Event::Dies(n) => {
+                self.servers[n].up = false;
+                let lost: Vec<_> = self.servers[n].jobs.iter().map(|j| (j.broker, j.attempt)).collect();
+                lost.into_iter().for_each(|(b, a)| self.ended(now, b, a, Outcome::ConnectionLost));
+            }
+            Event::Starts(n) => {
+                self.servers[n].up = true;
+                self.servers[n].started = Some(now);
+            }
+            Event::Told(n, state) => self.tell(n, state),
+            Event::Traffic(times) => self.traffic = times,
         }
     }
 
     fn tick(&mut self, now: Micros) {
-        self.troubles(now);
+        while let Some((_, event)) = self.ahead.pop_front_if(|(at, _)| *at <= now) {
+            self.happens(now, event);
+        }
         for n in 0..self.servers.len() {
-            let hung = n == 0 && (HUNG.0..HUNG.1).contains(&now);
-            let done = if hung { Vec::new() } else { self.servers[n].work(now, &self.set) };
+            let done = if self.servers[n].hangs { Vec::new() } else { self.servers[n].work(now, &self.set) };
             done.into_iter().for_each(|j| self.ended(now, j.broker, j.attempt, Outcome::Served));
         }
         let late = self.out.iter().filter(|(_, (_, until, _))| *until <= now).map(|(key, _)| *key);
@@ -332,8 +399,8 @@
     }
 }
 
-fn play(load: &'static Load) {
-    let mut day = Day::new(load);
+fn play(what: &str, load: &'static Load, events: impl Fn(usize) -> Vec<(Micros, Event)>) {
+    let mut day = Day::new(load, events);
     let mut now = TICK;
     while now < LENGTH || !day.open.is_empty() {
         day.tick(now);
@@ -341,12 +408,18 @@
         assert!(now < LENGTH + 10 * SECOND, "{} queries never end", day.open.len());
     }
     let share = |(earned, asked): (f64, f64)| earned / asked.max(1e-9);
-    println!("{} brokers, {} queries", load.brokers, day.next - 1);
+    let mut table = format!("{what}: {} brokers, {} queries\n", load.brokers, day.next - 1);
     for (what, accounts) in [("class", &day.by_class), ("tenant", &day.by_tenant)] {
         for (of, account) in accounts {
-            println!("  {what} {of}: {:.3} of {:.0}", share(*account), account.1);
+            table += &format!("  {what} {of}: {:.3} of {:.0}\n", share(*account), account.1);
         }
     }
+    for (class, [whole, late, part, refused, failed]) in &day.ends {
+        table += &format!(
+            "  class {class}: {whole} whole, {late} late, {part} in part, {refused} refused, {failed} failed\n"
+        );
+    }
+    print!("{table}");
     assert_eq!((day.by_class.len(), day.by_tenant.len()), (load.classes.len(), load.tenants.len()));
     for account in day.by_class.values().chain(day.by_tenant.values()) {
         assert!(share(*account) > load.floor, "one starves: {account:?}");
@@ -355,10 +428,16 @@
 
 #[test]
 fn no_class_and_no_tenant_starves_where_a_class_is_keyed() {
-    play(&KEYED);
+    play("failures, keyed", &KEYED, failures);
 }
 
 #[test]
 fn no_class_starves_where_all_may_be_repeated_and_copied() {
-    play(&REPEATABLE);
+    play("failures, repeatable", &REPEATABLE, failures);
+}
+
+#[test]
+fn no_class_and_no_tenant_starves_in_a_release() {
+    play("release, keyed", &KEYED, release);
+    play("release, repeatable", &REPEATABLE, release);
 }
