--- a/crates/broker/src/turns.rs
+++ b/crates/broker/src/turns.rs
@@ -18,7 +18,7 @@
 use plover_admission::budget::{self, Given, divide};
 use plover_config::{self as config, Config, InForce};
 use plover_core::{Core, Decisions, Dispatch, Final, Placed, Query, Report, Verdict};
-use plover_discovery::{Discovery, Sink};
+use plover_discovery::{Discovery, Sink, Start, Times};
 use plover_handover::wire::Word;
 use plover_handover::{Keyed, Neighbours, News};
 use plover_model::limits::PoolLimits;
@@ -148,6 +148,15 @@
         Sockets::start(directory, &config.name, clock, quarantine, executor.clone(), inbox.clone())
     });
     let come_back = operator.settings().come_back;
+    let watch = Start {
+        address: config.discovery,
+        known: &config.known,
+        // What is remembered may be a day old: then the whole list is asked for.
+        index: come_back.is_none().then_some(rev),
+        seed: config.seed,
+        times: Times::within(millis(config.settings.ask_within)),
+        budget: come_back.map(|c| coming::budget(c, config.seed)),
+    };
     let mut broker = Broker {
         clock,
         zones: config.names.zones.clone(),
@@ -165,14 +174,7 @@
         ),
         core: Core::new(config.settings, config.max_open, config.seed).named(&config.names),
         upstream: Upstream::new(executor.clone(), inbox.clone(), config.pool),
-        discovery: Discovery::start(
-            executor.clone(),
-            list,
-            config.discovery,
-            // What is remembered may be a day old: then the whole list is asked for.
-            come_back.is_none().then_some(rev),
-            come_back.map(|c| coming::budget(c, config.seed)),
-        ),
+        discovery: Discovery::start(executor.clone(), list, watch),
         inbox,
         fronts: Fronts::start(shared, plan, clock, executor.clone()),
         dispatches: BTreeMap::new(),
@@ -513,7 +515,8 @@
                 self.in_force = config.in_force;
                 self.retune(now, &config.settings, config.max_open, config.pool, &placed);
                 info!(name: "reloaded", discovery = %config.discovery, classes = config.names.classes.join(","));
-                self.discovery.move_to(config.discovery);
+                let times = Times::within(millis(config.settings.ask_within));
+                self.discovery.move_to(config.discovery, times);
                 self.sighup.0 += 1;
             }
             Err(error) => {
--- a/crates/control/src/roster.rs
+++ b/crates/control/src/roster.rs
@@ -3,9 +3,10 @@
 use crate::hub::{Event, Hub};
 use async_channel::Sender;
 use async_executor::LocalExecutor;
-use plover_discovery::{Discovery, Sink};
+use plover_config::Config;
+use plover_discovery::{Discovery, Sink, Start, Times};
+use plover_model::time::millis;
 use std::io;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::thread::JoinHandle;
 
@@ -16,13 +17,18 @@
 }
 
 impl Roster {
-    /// Watches at this address, from this version on; `None`: from the whole list on.
-    pub(crate) fn start(hub: Hub, address: SocketAddr, rev: Option<u64>) -> io::Result<Roster> {
+    /// Watches as the configuration says, from its list on.
+    pub(crate) fn start(hub: Hub, config: &Config) -> io::Result<Roster> {
+        let (address, known, seed) = (config.discovery, config.known.clone(), config.seed);
+        let times = Times::within(millis(config.settings.ask_within));
+        // Without a list that is known, changes of it say little.
+        let index = (!known.targets.is_empty()).then_some(known.rev);
         let (stop, stopped) = async_channel::bounded::<()>(1);
         let thread = std::thread::Builder::new().name("roster".to_owned()).spawn(move || {
             let executor = Rc::new(LocalExecutor::new());
             let sink: Sink = Rc::new(move |targets| hub.tell_blocking(Event::List(targets)));
-            let _watch = Discovery::start(executor.clone(), sink, address, rev, None);
+            let start = Start { address, known: &known, index, seed, times, budget: None };
+            let _watch = Discovery::start(executor.clone(), sink, start);
             async_io::block_on(executor.run(async {
                 let _ = stopped.recv().await;
             }));
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -113,14 +113,12 @@
         let core = Core::new(self.config.settings.clone(), 1, self.config.seed);
         let director = Director::new(clock.now(), core, self.figures());
         let hub = Hub::start(director, clock, self.config.names.zones.clone());
-        // Without a list that is known, changes of it say little.
-        let rev = (!self.config.known.targets.is_empty()).then_some(self.config.known.rev);
         let discovery = self.config.discovery;
         if !self.config.known.targets.is_empty() {
             hub.tell(Event::List(self.config.known.clone())).await;
         }
-        let (watched, watching) = (hub.clone(), discovery);
-        let roster = tokio::task::spawn_blocking(move || Roster::start(watched, watching, rev));
+        let (watched, watching) = (hub.clone(), self.config.clone());
+        let roster = tokio::task::spawn_blocking(move || Roster::start(watched, &watching));
         let roster = roster.await.map_err(io::Error::other)??;
         let asking = tokio::spawn(peers::ask(hub.clone(), self.options.peers.clone()));
         let (leave, leaving) = watch::channel(false);
--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -1,62 +1,73 @@
 //! Watches the list of data servers, from the version on that is known at the start.
+//!
+//! When to ask, and what to believe, is decided in `plover_watch`; here are the sockets and the bodies.
+
+mod line;
+mod list;
 
 use async_executor::{LocalExecutor, Task};
-use async_io::{Async, Timer};
-use futures_lite::AsyncWriteExt;
-use http::Response;
-use plover_http1::{Limits, Message, ResponseDecoder, Step};
+use async_io::Timer;
+use line::Line;
 use plover_model::server::Targets;
 use plover_model::time::Micros;
 use plover_recovery::{Budget, Kind};
-use plover_runtime::clock::limited;
-use plover_runtime::net::read_some;
+use plover_runtime::clock::Clock;
+use plover_watch::{Fault, Heard, Ledger, Order, State, Watch};
 use std::cell::RefCell;
 use std::io;
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
-use tracing::warn;
+use tracing::{info, warn};
 
-/// How long a watch may wait. Far shorter than the protocol allows: a call that got lost is noticed sooner.
-const WAIT: Duration = Duration::from_secs(5);
-/// The longest answer: a list of many thousand servers.
-const LIMITS: Limits = Limits { head: 16 * 1024, body: 4 << 20 };
-/// How much longer its answer may take.
-const GRACE: Duration = Duration::from_secs(1);
-/// First and longest wait after a failure. The first is well under the 200 ms that a watch may pause.
-const BACK_OFF: (Duration, Duration) = (Duration::from_millis(20), Duration::from_secs(1));
+pub use plover_watch::Times;
 
 /// Where news of the list goes.
 pub type Sink = Rc<dyn Fn(Targets)>;
 
+/// With what a watch begins.
+pub struct Start<'a> {
+    /// Where discovery is.
+    pub address: SocketAddr,
+    /// The list that is remembered: no older one revives a server that drains or is gone in it.
+    pub known: &'a Targets,
+    /// News since this version is asked for; `None`: the whole list.
+    pub index: Option<u64>,
+    /// For the spread of attempts.
+    pub seed: u64,
+    /// The figures of the watch.
+    pub times: Times,
+    /// With a budget that begins now, connections are made at its pace.
+    pub budget: Option<Budget>,
+}
+
 /// The one watch of the list, and so the owner of its connection.
 pub struct Discovery {
     executor: Rc<LocalExecutor<'static>>,
-    sink: Sink,
-    pace: Option<Rc<Pace>>,
+    site: Rc<Site>,
+    seed: u64,
     /// Dropping it ends the watch and closes its connection.
     _watch: Task<()>,
 }
 
 impl Discovery {
-    /// Watches at this address, from this version on; `None`: from the whole list on. With a budget that begins now,
-    /// watches begin at its pace.
-    pub fn start(
-        executor: Rc<LocalExecutor<'static>>,
-        sink: Sink,
-        address: SocketAddr,
-        rev: Option<u64>,
-        budget: Option<Budget>,
-    ) -> Self {
-        let pace = budget.map(|budget| Rc::new(Pace { budget: RefCell::new(budget), start: Instant::now() }));
-        let _watch = executor.spawn(watch(address, rev, sink.clone(), pace.clone()));
-        Discovery { executor, sink, pace, _watch }
+    /// Begins to watch; whatever comes goes to the sink.
+    pub fn start(executor: Rc<LocalExecutor<'static>>, sink: Sink, start: Start<'_>) -> Self {
+        let clock = Clock::start();
+        let mut ledger = Ledger::default();
+        ledger.take(clock.now(), &mut start.known.clone());
+        let pace = start.budget.map(|budget| Pace { budget: RefCell::new(budget), start: clock.now() });
+        let site = Rc::new(Site { clock, sink, ledger: RefCell::new(ledger), pace });
+        let watch = Watch::new(clock.now(), start.times, start.index, start.seed);
+        let _watch = executor.spawn(site.clone().run(start.address, watch));
+        Discovery { executor, site, seed: start.seed, _watch }
     }
 
     /// Watches at another address. Its versions need not be those of the last one, and what changed meanwhile
     /// is known to nobody: it is asked for the whole list first.
-    pub fn move_to(&mut self, address: SocketAddr) {
-        self._watch = self.executor.spawn(watch(address, None, self.sink.clone(), self.pace.clone()));
+    pub fn move_to(&mut self, address: SocketAddr, times: Times) {
+        self.seed = self.seed.rotate_left(1);
+        let watch = Watch::new(self.site.clock.now(), times, None, self.seed);
+        self._watch = self.executor.spawn(self.site.clone().run(address, watch));
     }
 }
 
@@ -64,101 +75,100 @@
 struct Pace {
     budget: RefCell<Budget>,
     /// Zero of the budget's clock.
-    start: Instant,
+    start: Micros,
 }
 
-impl Pace {
-    fn now(&self) -> Micros {
-        self.start.elapsed().as_micros() as Micros
-    }
-
-    async fn wait(&self) {
-        loop {
-            let Err(next) = self.budget.borrow_mut().take(self.now(), Kind::List) else { return };
-            Timer::at(self.start + Duration::from_micros(next)).await;
-        }
-    }
+/// What all watches of a broker share, whatever they watch at.
+struct Site {
+    clock: Clock,
+    sink: Sink,
+    ledger: RefCell<Ledger>,
+    pace: Option<Pace>,
 }
 
-/// Watches for ever. A list that cannot be had or read leaves the last one in force.
-async fn watch(discovery: SocketAddr, mut rev: Option<u64>, sink: Sink, pace: Option<Rc<Pace>>) {
-    let mut back_off = BACK_OFF.0;
-    let mut begins = true;
-    loop {
-        if let Some(pace) = pace.as_ref().filter(|_| begins) {
-            pace.wait().await;
-        }
-        let error = match session(discovery, &mut rev, &mut back_off, &sink).await {
-            // Closed between two answers, as a server may: the watch goes on.
-            Ok(()) => {
-                begins = false;
-                continue;
+impl Site {
+    /// Watches for ever. A list that cannot be had or read leaves the last one in force.
+    async fn run(self: Rc<Self>, discovery: SocketAddr, mut watch: Watch) {
+        let mut line: Option<Line> = None;
+        loop {
+            if matches!(watch.state(), State::Resting { .. }) {
+                line = None;
             }
-            Err(error) => error,
-        };
-        begins = true;
-        if let Some(pace) = &pace {
-            pace.budget.borrow_mut().refused(pace.now(), Kind::List);
+            Timer::at(self.clock.instant(watch.due())).await;
+            if matches!(watch.state(), State::Resting { goes_on: false, .. }) {
+                self.pace().await;
+            }
+            let now = self.clock.now();
+            if self.ledger.borrow_mut().release(now) {
+                watch.want_whole();
+            }
+            let ended = match watch.turn(now) {
+                None => continue,
+                Some(Order::GiveUp) => Err((None, io::ErrorKind::TimedOut.into())),
+                Some(Order::Connect) => match Line::connect(discovery, self.clock, &watch).await {
+                    Ok(new) => {
+                        let call = watch.connected(self.clock.now());
+                        self.ask(line.insert(new), call, &mut watch).await
+                    }
+                    Err(error) => Err((Some(Fault::Broken), error)),
+                },
+                Some(Order::Call(call)) => match &mut line {
+                    Some(line) => self.ask(line, call, &mut watch).await,
+                    None => Err((Some(Fault::Broken), io::ErrorKind::NotConnected.into())),
+                },
+            };
+            let Err((fault, error)) = ended else { continue };
+            let now = self.clock.now();
+            match fault {
+                // The watch sees by itself that its time is over.
+                Some(Fault::Broken) if error.kind() == io::ErrorKind::TimedOut && now >= watch.due() => {
+                    continue;
+                }
+                Some(fault) => watch.failed(now, fault),
+                None => {}
+            }
+            if let Some(pace) = &self.pace {
+                pace.budget.borrow_mut().refused(now - pace.start, Kind::List);
+            }
+            warn!(name: "discovery_failed", error = %error);
         }
-        warn!(name: "discovery_failed", error = %error);
-        Timer::after(back_off).await;
-        back_off = (back_off * 2).min(BACK_OFF.1);
     }
-}
 
-/// Watches over one connection until that ends.
-async fn session(
-    discovery: SocketAddr,
-    rev: &mut Option<u64>,
-    back_off: &mut Duration,
-    sink: &Sink,
-) -> io::Result<()> {
-    let mut stream = limited(GRACE, Async::<TcpStream>::connect(discovery)).await?;
-    stream.get_ref().set_nodelay(true)?;
-    let mut input = Vec::new();
-    let mut decoder = ResponseDecoder::new(LIMITS);
-    loop {
-        let called = Instant::now();
-        let (query, time) = match rev {
-            Some(rev) => (format!("?index={rev}&wait={}", WAIT.as_millis()), WAIT + GRACE),
-            None => (String::new(), GRACE),
-        };
-        let call = format!("GET /api/targets{query} HTTP/1.1\r\nHost: {discovery}\r\n\r\n");
-        stream.write_all(call.as_bytes()).await?;
-        let message = limited(time, answer(&stream, &mut decoder, &mut input)).await?;
-        if message.value.status() != 200 {
-            // It may not know our version, as after a loss of its own data: the whole list comes next.
-            *rev = None;
-            return Err(io::Error::other(format!("status {}", message.value.status())));
+    /// One call and its answer.
+    async fn ask(
+        &self,
+        line: &mut Line,
+        call: plover_watch::Call,
+        watch: &mut Watch,
+    ) -> Result<(), (Option<Fault>, io::Error)> {
+        let broken = |error| (Some(Fault::Broken), error);
+        let message = line.exchange(call, self.clock, watch).await.map_err(broken)?;
+        let status = message.value.status().as_u16();
+        if status != 200 {
+            return Err((Some(Fault::Status(status)), io::Error::other(format!("status {status}"))));
         }
-        let targets: Targets = serde_json::from_slice(message.value.body()).map_err(io::Error::other)?;
-        *rev = Some(targets.rev);
-        *back_off = BACK_OFF.0;
-        if targets.all || !targets.targets.is_empty() {
-            sink(targets);
-        } else if called.elapsed() < WAIT / 2 {
-            // An empty answer before its time: asked again at once, such a server would cost the whole core.
-            Timer::after(BACK_OFF.0).await;
-        }
-        if !message.keep_alive {
-            return Ok(());
+        let read = list::read(message.value.body());
+        let mut targets = read.map_err(|error| (Some(Fault::Unreadable), error))?;
+        let tells = targets.all || !targets.targets.is_empty();
+        let now = self.clock.now();
+        watch.answered(now, Heard { rev: targets.rev, tells, closes: !message.keep_alive });
+        if tells {
+            let held = self.ledger.borrow_mut().take(now, &mut targets);
+            if held > 0 {
+                info!(name: "older_list", rev = targets.rev, held);
+            }
+            (self.sink)(targets);
         }
+        Ok(())
     }
-}
 
-async fn answer(
-    stream: &Async<TcpStream>,
-    decoder: &mut ResponseDecoder,
-    input: &mut Vec<u8>,
-) -> io::Result<Message<Response<Vec<u8>>>> {
-    loop {
-        match decoder.step(input).map_err(io::Error::other)? {
-            Step::Whole(message) => return Ok(message),
-            Step::More(_) => {
-                if read_some(stream, input).await? == 0 {
-                    return Err(io::ErrorKind::UnexpectedEof.into());
-                }
-            }
+    /// Waits until the fleet's pace has room for another watch.
+    async fn pace(&self) {
+        let Some(pace) = &self.pace else { return };
+        loop {
+            let now = self.clock.now().saturating_sub(pace.start);
+            let Err(next) = pace.budget.borrow_mut().take(now, Kind::List) else { return };
+            Timer::at(self.clock.instant(pace.start + next)).await;
         }
     }
 }
--- /dev/null
+++ b/crates/discovery/tests/misbehaving.rs
@@ -0,0 +1,164 @@
+//! The watch on real sockets, against a discovery that misbehaves. All spans are an eighth of the real ones; no verdict
+//! hangs on them, only on what comes and in which order.
+
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use futures_lite::FutureExt;
+use plover_discovery::{Discovery, Sink, Start, Times};
+use plover_model::server::{TargetState, Targets};
+use plover_standins::script::{Act, Script, chunked, sized};
+use serde_json::{Value, json};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Far beyond what a slow machine needs.
+const BOUND: Duration = Duration::from_secs(30);
+
+fn entry(uid: &str, state: &str) -> Value {
+    json!({"uid": uid, "endpoint": "127.0.0.1:9", "az": "z", "pod_group": 0, "state": state, "boot_ms": 0})
+}
+
+fn list(rev: u64, all: bool, targets: &[Value]) -> String {
+    json!({"rev": rev, "all": all, "targets": targets}).to_string()
+}
+
+fn known() -> Targets {
+    serde_json::from_str(&list(7, true, &[entry("a", "active"), entry("b", "leaving")])).unwrap()
+}
+
+/// What the broker is told by this discovery, up to a list of this version; and how long that took.
+fn told(script: &Script, until: u64, and_then: impl FnOnce(&mut Discovery)) -> (Vec<Targets>, Duration) {
+    let executor = Rc::new(LocalExecutor::new());
+    let (sender, heard) = async_channel::unbounded();
+    let sink: Sink = Rc::new(move |targets| drop(sender.try_send(targets)));
+    let start = Start {
+        address: script.address,
+        known: &known(),
+        index: Some(7),
+        seed: 5,
+        times: Times::default().divided(8),
+        budget: None,
+    };
+    let begun = Instant::now();
+    let mut discovery = Discovery::start(executor.clone(), sink, start);
+    and_then(&mut discovery);
+    let lists = async {
+        let mut lists: Vec<Targets> = Vec::new();
+        while lists.last().is_none_or(|l| l.rev != until) {
+            lists.push(heard.recv().await.unwrap());
+        }
+        Some(lists)
+    };
+    let late = async {
+        Timer::after(BOUND).await;
+        None
+    };
+    let lists = async_io::block_on(executor.run(lists.or(late)));
+    (lists.unwrap_or_else(|| panic!("no version {until}; calls: {:?}", script.calls())), begun.elapsed())
+}
+
+fn states(list: &Targets) -> Vec<(&str, TargetState)> {
+    list.targets.iter().map(|t| (&*t.uid, t.state)).collect()
+}
+
+/// Each of these tells nothing and costs nothing: what discovery has to say comes over another connection, once.
+#[test]
+fn what_a_discovery_does_wrong_costs_no_news() {
+    let news = list(8, true, &[entry("a", "leaving")]);
+    let whole = sized(&news);
+    let head = whole.len() - news.len();
+    let status = |line: &str| format!("HTTP/1.1 {line}\r\nContent-Length: 0\r\n\r\n").into_bytes();
+    let too_long = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{news}", (4 << 20) + 1);
+    let endless = format!("HTTP/1.1 200 OK\r\nX: {}", "x".repeat(20_000));
+    let twice = [sized(&list(7, false, &[])), sized(&list(9, true, &[]))].concat();
+    let wrong = [
+        ("silent on a held call", Act::Silence, true),
+        ("one byte a second", Act::Trickle(whole.clone(), Duration::from_secs(1)), true),
+        ("dies before the head", Act::SayAndEnd(Vec::new()), true),
+        ("dies between head and body", Act::SayAndEnd(whole[..head].to_vec()), true),
+        ("dies in the body", Act::SayAndEnd(whole[..whole.len() - 2].to_vec()), true),
+        ("stops in the body", Act::Say(whole[..whole.len() - 2].to_vec()), true),
+        ("a chunk is cut", Act::SayAndEnd(chunked(&news, 16)[..90].to_vec()), true),
+        ("500", Act::Say(status("500 Internal Server Error")), true),
+        ("503", Act::Say(status("503 Service Unavailable")), true),
+        ("404", Act::Say(status("404 Not Found")), false),
+        ("no HTTP", Act::Say(b"\x00\x01\x02 nonsense\r\n\r\n".to_vec()), true),
+        ("no JSON", Act::Say(sized("{\"rev\":")), true),
+        ("no list", Act::Say(sized("{\"rev\":8}")), true),
+        ("no readable entry", Act::Say(sized(&list(8, true, &[json!({"uid": "a"})]))), true),
+        ("a body beyond the bound", Act::Say(too_long.into_bytes()), true),
+        ("a head beyond the bound", Act::Say(endless.into_bytes()), true),
+        ("two answers to a call", Act::Say(twice), true),
+    ];
+    for (name, act, keeps_version) in wrong {
+        let script = Script::start(vec![act], Some((8, vec![entry("a", "leaving")]))).unwrap();
+        let (lists, took) = told(&script, 8, |_| ());
+        let calls = script.calls();
+        println!("{name}: {took:?}");
+        assert_eq!(lists.len(), 1, "{name}: {lists:?}");
+        assert_eq!(states(&lists[0]), [("a", TargetState::Leaving)], "{name}");
+        assert!(calls[0].target.starts_with("/api/targets?index=7&wait="), "{name}: {calls:?}");
+        assert_eq!(calls[1].connection, 2, "{name}: {calls:?}");
+        assert_eq!(calls[1].target.contains("index=7"), keeps_version, "{name}: {calls:?}");
+    }
+}
+
+/// Lists that are as they may be, though not as usual: all are taken from the first call on.
+#[test]
+fn what_is_unusual_is_taken() {
+    let whole = [entry("a", "leaving"), entry("c", "active")];
+    let pretty = serde_json::to_string_pretty(&json!({"rev": 8, "all": true, "targets": whole})).unwrap();
+    let text = list(8, true, &whole);
+    let padded = format!("{text}{}", " ".repeat(100_000));
+    let (leaving, active) = (("a", TargetState::Leaving), ("c", TargetState::Active));
+    let usual = vec![leaving, active];
+    let faulty = list(8, true, &[entry("a", "leaving"), json!({"state": "active"}), json!({"uid": "c"})]);
+    let of_another_fleet = list(8, true, &[entry("x", "active")]);
+    let unusual = [
+        ("indented", sized(&pretty), usual.clone()),
+        ("in chunks", chunked(&pretty, 7), usual.clone()),
+        ("longer than is usual", sized(&padded), usual),
+        ("entries lack fields", sized(&faulty), vec![leaving, ("c", TargetState::Leaving)]),
+        ("of another fleet", sized(&of_another_fleet), vec![("x", TargetState::Active)]),
+        ("empty", sized(&list(8, true, &[])), vec![]),
+    ];
+    for (name, bytes, expected) in unusual {
+        let script = Script::start(vec![Act::Say(bytes)], None).unwrap();
+        let (lists, _) = told(&script, 8, |_| ());
+        assert!(lists[0].all, "{name}");
+        assert_eq!(states(&lists[0]), expected, "{name}");
+    }
+}
+
+/// From an agent that lags: nobody is revived, neither of the list that was remembered nor of what was told since.
+#[test]
+fn an_older_list_revives_nobody() {
+    let say = |rev, all, entries: &[Value]| Act::Say(sized(&list(rev, all, entries)));
+    let all = [entry("a", "active"), entry("b", "active"), entry("n", "active")];
+    let acts = vec![say(8, false, &[entry("a", "left")]), say(6, true, &all), say(9, false, &all)];
+    let script = Script::start(acts, None).unwrap();
+    let (lists, _) = told(&script, 9, |_| ());
+    let (active, leaving) = (TargetState::Active, TargetState::Leaving);
+    assert_eq!(states(&lists[1]), [("a", leaving), ("b", leaving), ("n", active)]);
+    assert_eq!(states(&lists[2]), [("a", active), ("b", active), ("n", active)]);
+    assert!(
+        script.calls()[2].target.contains("index=6"),
+        "what the lagging agent has is asked for from there"
+    );
+}
+
+/// The one that it is moved to says nothing at first, and is heard when it does; the old one is not any more.
+#[test]
+fn moved_to_a_silent_discovery_it_hears_it_once_it_speaks() {
+    let old = Script::start(vec![], Some((9, vec![entry("a", "active")]))).unwrap();
+    let new =
+        Script::start(vec![Act::Silence, Act::Silence], Some((3, vec![entry("a", "leaving")]))).unwrap();
+    let times = Times::default().divided(8);
+    let (lists, took) = told(&old, 3, |discovery| discovery.move_to(new.address, times));
+    println!("moved to a silent one: {took:?}");
+    assert_eq!(states(&lists[0]), [("a", TargetState::Leaving)]);
+    let calls = new.calls();
+    assert_eq!((lists.len(), calls.len() >= 3), (1, true), "{lists:?}, {calls:?}");
+    assert!(calls[..3].iter().all(|c| c.target == "/api/targets"), "{calls:?}");
+    assert_eq!([calls[0].connection, calls[1].connection, calls[2].connection], [1, 2, 3]);
+}
--- a/crates/ploverport/tests/operation/main.rs
+++ b/crates/ploverport/tests/operation/main.rs
@@ -8,3 +8,4 @@
 mod settings;
 mod soak;
 mod upgrade;
+mod watch;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -10,6 +10,7 @@
 mod fleet;
 mod list;
 mod program;
+pub mod script;
 mod server;
 
 pub use deployment::Deployment;
