Play the watch's simulated discovery as a stand-in, and read sound lists at once

Cause: the simulation stood in the tests, and each entry of a sound list was decoded twice (crates/discovery/src/list.rs).

Change: `standins::timed`; an answer is read entry by entry only where it cannot be read as a whole.

--- a/crates/discovery/src/list.rs
+++ b/crates/discovery/src/list.rs
@@ -17,6 +17,9 @@
 /// nothing may go where nobody knows whether it may; without one, it is passed over. A list in which no entry can be read
 /// is none.
 pub(crate) fn read(body: &[u8]) -> io::Result<Targets> {
+    if let Ok(sound) = serde_json::from_slice(body) {
+        return Ok(sound);
+    }
     let loose: Loose = serde_json::from_slice(body)?;
     let (many, mut faulty, mut first) = (loose.targets.len(), 0, None);
     let mut targets = Vec::with_capacity(many);
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -12,6 +12,7 @@
 mod program;
 pub mod script;
 mod server;
+pub mod timed;
 
 pub use deployment::Deployment;
 pub use fleet::{Fleet, Plan, ServerHandle};
