--- a/crates/ploverport/tests/operation/watch.rs
+++ b/crates/ploverport/tests/operation/watch.rs
@@ -33,7 +33,7 @@
 /// Under queries all the while: what `drains` does, and how long after it the last part went to the first server. After
 /// the broker has heard of it none does.
 fn last_part_after(fleet: &Fleet, program: &Program, drains: impl FnOnce() -> Instant) -> Duration {
-    let over = AtomicBool::new(false);
+    let (over, to) = (AtomicBool::new(false), program.http1);
     let to_first = || fleet.books(|b| b.attempts().iter().filter(|a| a.server == "s0").map(|a| a.came).max());
     std::thread::scope(|scope| {
         scope.spawn(|| {
@@ -41,7 +41,7 @@
                 if over.load(Ordering::Relaxed) {
                     return;
                 }
-                ask(program.http1, &Ask::new(format!("q{n}"), "lookup", &[n % 8]));
+                ask(to, &Ask::new(format!("q{n}"), "lookup", &[n % 8]));
             }
         });
         let begun = Instant::now();
@@ -52,7 +52,7 @@
         let told = drains();
         let last = to_first();
         for n in 0..40 {
-            ask(program.http1, &Ask::new(format!("after{n}"), "lookup", &[n % 8]));
+            ask(to, &Ask::new(format!("after{n}"), "lookup", &[n % 8]));
         }
         let after = fleet
             .books(|b| b.attempts().iter().filter(|a| a.server == "s0" && a.id.starts_with("after")).count());
