--- a/crates/broker/src/run.rs
+++ b/crates/broker/src/run.rs
@@ -18,7 +18,7 @@
 use futures_lite::StreamExt;
 use plover_config::Config;
 use plover_core::Core;
-use plover_discovery::{Discovery, Sink};
+use plover_discovery::{Discovery, Sink, Start, Times};
 use plover_model::server::ListScope;
 use plover_model::time::millis;
 use plover_runtime::clock::Clock;
@@ -89,6 +89,15 @@
     }
     let rev = config.known.rev;
     let classes = &config.names.classes;
+    let watch = Start {
+        address: config.discovery,
+        known: &config.known,
+        // What is remembered may be a day old: then the whole list is asked for.
+        index: come_back.is_none().then_some(rev),
+        seed: config.seed,
+        times: Times::within(millis(config.settings.ask_within)),
+        budget: come_back.map(|c| coming::budget(c, config.seed)),
+    };
     let mut broker = Broker {
         clock,
         tick: millis(config.settings.tick),
@@ -97,14 +106,7 @@
         queries: Queries::new(&config.settings, classes, config.max_open, config.seed, clock.shared(0)),
         core: Core::new(config.settings, config.max_open, config.seed).named(&config.names),
         upstream: Upstream::new(executor.clone(), inbox.clone(), config.pool),
-        discovery: Discovery::start(
-            executor.clone(),
-            list,
-            config.discovery,
-            // What is remembered may be a day old: then the whole list is asked for.
-            come_back.is_none().then_some(rev),
-            come_back.map(|c| coming::budget(c, config.seed)),
-        ),
+        discovery: Discovery::start(executor.clone(), list, watch),
         inbox,
         doors: Doors::new(fronts, parts.shut().is_some()),
         list: List { clock, zones: config.names.zones, rev },
--- a/crates/broker/src/turns.rs
+++ b/crates/broker/src/turns.rs
@@ -15,7 +15,7 @@
 use futures_lite::future::yield_now;
 use plover_admission::Connection;
 use plover_core::{Core, Decisions, Dispatch, Final, Query, Report, Verdict};
-use plover_discovery::Discovery;
+use plover_discovery::{Discovery, Times};
 use plover_handover::{Keyed, Neighbours};
 use plover_model::query::{Ask, AttemptId, QueryId, Reply};
 use plover_model::server::{ListScope, Outcome, Targets};
@@ -256,7 +256,7 @@
         self.upstream.set_limits(config.pool);
         self.doors.fronts.change(now, self.files.terms(&placed.settings, &placed.names));
         info!(name: "reloaded", discovery = %config.discovery, classes = config.names.classes.join(","));
-        self.discovery.move_to(config.discovery);
+        self.discovery.move_to(config.discovery, Times::within(millis(config.settings.ask_within)));
     }
 
     /// What ended since the last turn, for the decisions; the values stay here, with their queries.
--- a/crates/ploverport/tests/operation/main.rs
+++ b/crates/ploverport/tests/operation/main.rs
@@ -9,3 +9,4 @@
 mod settings;
 mod soak;
 mod upgrade;
+mod watch;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -10,7 +10,9 @@
 mod fleet;
 mod list;
 mod program;
+pub mod script;
 mod server;
+pub mod timed;
 
 pub use deployment::Deployment;
 pub use fleet::{Fleet, Plan, ServerHandle};
