--- a/crates/duties/src/keeper.rs
+++ b/crates/duties/src/keeper.rs
@@ -38,6 +38,19 @@
     pub seed: u64,
 }
 
+/// What a group of keepers begins with.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Founding {
+    /// The group's number, drawn: words of another group are refused.
+    pub group: u64,
+    /// One to five; one is for tests.
+    pub keepers: Vec<KeeperId>,
+    /// The duties that there are from the start.
+    pub duties: Vec<DutyName>,
+    /// All tokens are above it: 0, or, where an earlier group lost all its disks, what no receiver has seen.
+    pub tokens_after: Token,
+}
+
 /// Why a keeper cannot start.
 #[derive(Debug, thiserror::Error)]
 pub enum NoStart<E> {
@@ -151,25 +164,24 @@
 }
 
 impl Keeper {
-    /// Founds a group: each of its keepers does so once, with the same `group`, `keepers` and `duties`.
+    /// Founds a group: each of its keepers does so once, with the same `founding`.
     ///
     /// # Errors
     /// See [`NoStart`].
     pub fn found<S: Store>(
         store: &mut S,
-        group: u64,
         id: KeeperId,
-        keepers: &[KeeperId],
-        duties: &[DutyName],
+        founding: &Founding,
     ) -> Result<(), NoStart<S::Error>> {
-        let register = Register::new(duties, keepers);
+        let Founding { group, keepers, duties, tokens_after } = founding;
+        let register = Register::new(duties, keepers, *tokens_after);
         let voters: Vec<u64> = keepers.iter().map(|k| k.0).collect();
         let snapshot =
             PeerSnapshot { index: 1, term: 1, voters, data: put(&register), ..PeerSnapshot::default() };
         if !snapshot.fits() || keepers.len() > 5 || !keepers.contains(&id) {
             return Err(NoStart::Keepers);
         }
-        begin(store, Identity { group, id: id.0 }, &snapshot)
+        begin(store, Identity { group: *group, id: id.0 }, &snapshot)
     }
 
     /// Prepares the empty disk of a keeper that comes in under an identity never used; the group takes it by [`Command::Join`].
--- a/crates/duties/src/receiver.rs
+++ b/crates/duties/src/receiver.rs
@@ -21,7 +21,9 @@
 }
 
 /// Why an order is not taken.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize, thiserror::Error)]
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, thiserror::Error,
+)]
 pub enum Unfit {
     /// A later grant's order was seen.
     #[error("token {seen:?} was seen")]
--- a/crates/duties/src/register.rs
+++ b/crates/duties/src/register.rs
@@ -317,16 +317,20 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Register {
     duties: BTreeMap<DutyName, Duty>,
+    /// Where the tokens of a duty named later begin.
+    after: Token,
     /// The highest identity of a keeper ever used.
     last_keeper: u64,
     joining: BTreeMap<KeeperId, Option<KeeperId>>,
 }
 
 impl Register {
-    /// One with these duties (at most [`DUTIES_MAX`] are taken), kept by those keepers.
-    pub fn new(duties: &[DutyName], keepers: &[KeeperId]) -> Self {
+    /// One with these duties (at most [`DUTIES_MAX`] are taken), kept by those keepers. All tokens are above `after`.
+    pub fn new(duties: &[DutyName], keepers: &[KeeperId], after: Token) -> Self {
+        let duty = Duty { token: after, ..Duty::default() };
         Register {
-            duties: duties.iter().take(DUTIES_MAX).map(|d| (d.clone(), Duty::default())).collect(),
+            duties: duties.iter().take(DUTIES_MAX).map(|d| (d.clone(), duty.clone())).collect(),
+            after,
             last_keeper: keepers.iter().map(|k| k.0).max().unwrap_or(0),
             joining: BTreeMap::new(),
         }
@@ -342,7 +346,8 @@
                 if !self.duties.contains_key(duty) && self.duties.len() >= DUTIES_MAX {
                     return Err(Refusal::TooMany);
                 }
-                self.duties.entry(duty.clone()).or_default();
+                let new = Duty { token: self.after, ..Duty::default() };
+                self.duties.entry(duty.clone()).or_insert(new);
                 Ok(Change::Named)
             }
             Command::Ask { duty, process, ask } => ask_for(self.duty(duty)?, term, process, *ask),
