--- a/crates/duties/src/holder.rs
+++ b/crates/duties/src/holder.rs
@@ -28,8 +28,6 @@
 /// The spans of a holder, on its own clock.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Times {
-    /// The lease, as the keepers have it.
-    pub lease: Lease,
     /// Between two asks, and between two words that give over or release.
     pub ask_every: Micros,
     /// Between two renewals; a third of the lease or less.
@@ -43,10 +41,10 @@
 }
 
 impl Times {
-    /// Spans that suit a lease.
+    /// Spans that suit a lease; that in force is told with the grant.
     pub fn of(lease: Lease) -> Self {
         let l = lease.kept();
-        Times { lease, ask_every: l / 8, renew_every: l / 4, stop_for: l / 16, give_for: l / 2, rest: l * 2 }
+        Times { ask_every: l / 8, renew_every: l / 4, stop_for: l / 16, give_for: l / 2, rest: l * 2 }
     }
 }
 
@@ -66,6 +64,8 @@
         token: Token,
         /// In which term it was granted.
         term: Term,
+        /// For how long each renewal is.
+        lease: Lease,
         /// The lease ends then.
         until: Micros,
         /// It is to be given over, or else released then.
@@ -241,7 +241,7 @@
         }
     }
 
-    /// Does what is due; at most `2 + 2 * OPEN_MAX` words to the leading keeper.
+    /// Does what is due; at most `1 + 2 * OPEN_MAX` words to the leading keeper.
     pub fn turn(&mut self, now: Micros) -> Vec<Command> {
         match self.phase {
             Phase::Idle { from } if self.wanted && now >= from => {
@@ -289,11 +289,11 @@
             (_, Said::Granted(grant)) => return self.granted(now, grant),
             (Of::Renew(ask, of), Said::Renewed { waits: some }) => {
                 let sent = self.asked(*ask);
-                if let (Phase::Holding { token, until, waits, leave_by, .. }, Some(sent)) =
+                if let (Phase::Holding { token, lease, until, waits, leave_by, .. }, Some(sent)) =
                     (&mut self.phase, sent)
                     && token == of
                 {
-                    *until = (*until).max(sent + self.times.lease.held());
+                    *until = (*until).max(sent + lease.held());
                     *waits = *some;
                     if *some && leave_by.is_some() {
                         self.next = now;
@@ -348,19 +348,19 @@
             && token == grant.token
         {
             let sent = self.asked(grant.ask).unwrap_or(0);
-            let longer = until.max(sent + self.times.lease.held());
+            let longer = until.max(sent + grant.lease.held());
             if let Phase::Holding { until, .. } = &mut self.phase {
                 *until = longer;
             }
             return None;
         }
-        let until = self.asked(grant.ask).map(|sent| sent + self.times.lease.held());
+        let until = self.asked(grant.ask).map(|sent| sent + grant.lease.held());
         match (&self.phase, until) {
             (Phase::Asking, Some(until))
                 if self.wanted && grant.token > self.floor && now + self.times.stop_for < until =>
             {
-                let (token, term) = (grant.token, grant.term);
-                self.phase = Phase::Holding { token, term, until, leave_by: None, waits: false };
+                let Grant { token, term, lease, .. } = *grant;
+                self.phase = Phase::Holding { token, term, lease, until, leave_by: None, waits: false };
                 self.open = grant.open.iter().map(|w| (w.work, w.clone())).collect();
                 self.last_work = grant.last_work;
                 self.next = now;
--- a/crates/duties/src/keeper.rs
+++ b/crates/duties/src/keeper.rs
@@ -30,8 +30,6 @@
 pub struct Settings {
     /// Between two ticks; the leader is heard of every other one.
     pub tick_every: Micros,
-    /// The lease of every grant.
-    pub lease: Lease,
     /// So many entries are kept before they are folded into a snapshot.
     pub keep: usize,
     /// Chance comes from it: no two keepers share it.
@@ -47,6 +45,8 @@
     pub keepers: Vec<KeeperId>,
     /// The duties that there are from the start.
     pub duties: Vec<DutyName>,
+    /// Of every grant.
+    pub lease: Lease,
     /// All tokens are above it: 0, or, where an earlier group lost all its disks, what no receiver has seen.
     pub tokens_after: Token,
 }
@@ -173,8 +173,8 @@
         id: KeeperId,
         founding: &Founding,
     ) -> Result<(), NoStart<S::Error>> {
-        let Founding { group, keepers, duties, tokens_after } = founding;
-        let register = Register::new(duties, keepers, *tokens_after);
+        let Founding { group, keepers, duties, lease, tokens_after } = founding;
+        let register = Register::new(duties, keepers, *tokens_after, *lease);
         let voters: Vec<u64> = keepers.iter().map(|k| k.0).collect();
         let snapshot =
             PeerSnapshot { index: 1, term: 1, voters, data: put(&register), ..PeerSnapshot::default() };
@@ -455,7 +455,7 @@
 
     /// Starts the span of each lease that was granted or renewed in what was just applied.
     fn watch(&mut self, now: Micros) {
-        let kept = self.settings.lease.kept();
+        let kept = self.register.lease().kept();
         let old = std::mem::take(&mut self.watches);
         for (duty, token, renewals) in self.register.leases() {
             let known = old.get(duty).filter(|w| w.token == token && w.renewals == renewals);
@@ -466,7 +466,9 @@
     }
 
     fn lapse(&mut self, now: Micros) {
-        let kept = self.settings.lease.kept();
+        // Those that came with the snapshot that it started from have no entry after it.
+        self.watch(now);
+        let kept = self.register.lease().kept();
         let mut over = Vec::new();
         for (duty, watch) in &mut self.watches {
             if now.saturating_sub(watch.since) >= kept && now >= watch.lapse_at {
--- a/crates/duties/src/register.rs
+++ b/crates/duties/src/register.rs
@@ -4,7 +4,7 @@
 //! A lease's end is a command too: the leading keeper measures the span and proposes [`Command::Lapse`], which names the
 //! renewal that it measured from and is refused where a later one came first.
 
-use crate::values::{AskId, DutyName, KeeperId, Process, Term, Token, WorkId};
+use crate::values::{AskId, DutyName, KeeperId, Lease, Process, Term, Token, WorkId};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -212,6 +212,8 @@
     pub token: Token,
     /// In which term it was written.
     pub term: Term,
+    /// For how long: holder and keepers count the same lease.
+    pub lease: Lease,
     /// What earlier holders began and did not end.
     pub open: Vec<Work>,
     /// The highest number of work used.
@@ -271,22 +273,23 @@
 }
 
 impl Duty {
-    fn grant(&mut self, term: Term, process: Process, ask: AskId) -> Change {
+    fn grant(&mut self, lease: Lease, term: Term, process: Process, ask: AskId) -> Change {
         self.token = Token(self.token.0.saturating_add(1));
         self.term = term;
         self.waiting.clear();
         self.held = Some(Held { process, ask, renewals: 0, taken: false });
-        self.granted()
+        self.granted(lease)
     }
 
     /// The grant in force, as told to its holder; told again, it is the same but for the ask.
-    fn granted(&self) -> Change {
+    fn granted(&self, lease: Lease) -> Change {
         match &self.held {
             Some(held) => Change::Granted(Grant {
                 process: held.process.clone(),
                 ask: held.ask,
                 token: self.token,
                 term: self.term,
+                lease,
                 open: self.open.values().cloned().collect(),
                 last_work: self.last_work,
             }),
@@ -319,18 +322,21 @@
     duties: BTreeMap<DutyName, Duty>,
     /// Where the tokens of a duty named later begin.
     after: Token,
+    lease: Lease,
     /// The highest identity of a keeper ever used.
     last_keeper: u64,
     joining: BTreeMap<KeeperId, Option<KeeperId>>,
 }
 
 impl Register {
-    /// One with these duties (at most [`DUTIES_MAX`] are taken), kept by those keepers. All tokens are above `after`.
-    pub fn new(duties: &[DutyName], keepers: &[KeeperId], after: Token) -> Self {
+    /// One with these duties (at most [`DUTIES_MAX`] are taken), kept by those keepers. All tokens are above `after`; all
+    /// grants are for `lease`.
+    pub fn new(duties: &[DutyName], keepers: &[KeeperId], after: Token, lease: Lease) -> Self {
         let duty = Duty { token: after, ..Duty::default() };
         Register {
             duties: duties.iter().take(DUTIES_MAX).map(|d| (d.clone(), duty.clone())).collect(),
             after,
+            lease,
             last_keeper: keepers.iter().map(|k| k.0).max().unwrap_or(0),
             joining: BTreeMap::new(),
         }
@@ -341,6 +347,7 @@
     /// # Errors
     /// Says why the register stays as it is, but for the place among those who wait that [`Refusal::Held`] may have given.
     pub fn apply(&mut self, term: Term, command: &Command) -> Result<Change, Refusal> {
+        let lease = self.lease;
         match command {
             Command::Name { duty } => {
                 if !self.duties.contains_key(duty) && self.duties.len() >= DUTIES_MAX {
@@ -350,7 +357,7 @@
                 self.duties.entry(duty.clone()).or_insert(new);
                 Ok(Change::Named)
             }
-            Command::Ask { duty, process, ask } => ask_for(self.duty(duty)?, term, process, *ask),
+            Command::Ask { duty, process, ask } => ask_for(self.duty(duty)?, lease, term, process, *ask),
             Command::Renew { duty, process, ask, token } => {
                 let duty = self.duty(duty)?;
                 let held = duty.holder(process, *token)?;
@@ -368,7 +375,7 @@
                 duty.holder(process, *token)?;
                 let next = duty.waiting.iter().rfind(|w| to.as_ref().is_none_or(|to| w.process == *to));
                 let Waiting { process, ask, .. } = next.cloned().ok_or(Refusal::NobodyWaits)?;
-                Ok(duty.grant(term, process, ask))
+                Ok(duty.grant(lease, term, process, ask))
             }
             Command::Release { duty, process, token } => {
                 let duty = self.duty(duty)?;
@@ -442,6 +449,11 @@
         (!known && duty.waiting.len() >= WAITING_MAX).then_some(Refusal::Held { token: duty.token })
     }
 
+    /// How long grants are for.
+    pub fn lease(&self) -> Lease {
+        self.lease
+    }
+
     /// The leases in force: duty, token, renewals.
     pub fn leases(&self) -> impl Iterator<Item = (&DutyName, Token, u64)> {
         self.duties.iter().filter_map(|(n, d)| d.held.as_ref().map(|h| (n, d.token, h.renewals)))
@@ -468,8 +480,14 @@
     }
 }
 
-fn ask_for(duty: &mut Duty, term: Term, process: &Process, ask: AskId) -> Result<Change, Refusal> {
-    let Some(held) = &mut duty.held else { return Ok(duty.grant(term, process.clone(), ask)) };
+fn ask_for(
+    duty: &mut Duty,
+    lease: Lease,
+    term: Term,
+    process: &Process,
+    ask: AskId,
+) -> Result<Change, Refusal> {
+    let Some(held) = &mut duty.held else { return Ok(duty.grant(lease, term, process.clone(), ask)) };
     if held.process == *process {
         if held.taken {
             return Err(Refusal::Taken);
@@ -477,7 +495,7 @@
         // Its grant was not heard: told again, and counted from this ask, hence a renewal.
         held.renewals = held.renewals.saturating_add(1);
         held.ask = held.ask.max(ask);
-        return Ok(duty.granted());
+        return Ok(duty.granted(lease));
     }
     let heard = held.renewals;
     let before = duty.waiting.iter().position(|w| w.process == *process).map(|i| duty.waiting.remove(i));
--- a/crates/duties/src/values.rs
+++ b/crates/duties/src/values.rs
@@ -123,7 +123,7 @@
 pub struct WorkId(pub u64);
 
 /// How far any clock may run from true time, in parts per million of the span measured; below one million.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Drift(u32);
 
 const MILLION: u128 = 1_000_000;
@@ -136,7 +136,7 @@
 }
 
 /// How long a grant holds: the keepers' span.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Lease {
     span: Micros,
     drift: Drift,
@@ -158,7 +158,8 @@
     /// With the drift d, a keeper's span L ends no sooner than L/(1+d) of true time, and a holder's span H no later than
     /// H/(1-d). Holder first means H/(1-d) < L/(1+d), hence H < L(1-d)/(1+d); here it is rounded down and one less.
     pub fn held(&self) -> Micros {
-        let d = u128::from(self.drift.0);
+        // One that came in a word is not bounded.
+        let d = u128::from(self.drift.0).min(MILLION - 1);
         let held = u128::from(self.span) * (MILLION - d) / (MILLION + d);
         u64::try_from(held).unwrap_or(u64::MAX).saturating_sub(1)
     }
--- a/crates/duties/tests/model.rs
+++ b/crates/duties/tests/model.rs
@@ -66,6 +66,10 @@
     DutyName::reshard()
 }
 
+fn lease() -> Lease {
+    Lease::new(SPAN, Drift::ppm(250_000))
+}
+
 fn holder(i: usize, start: u64, times: Times) -> Holder {
     let broker = BrokerName::new(["a", "b"][i]).expect("fits");
     let mut holder = Holder::new(duty(), Process { broker, start }, times);
@@ -189,7 +193,7 @@
         let start = |rates: &[u64; 3]| State {
             ticks: 0,
             rates: *rates,
-            register: Register::new(&[duty()], &[KeeperId(1)], Token(0)),
+            register: Register::new(&[duty()], &[KeeperId(1)], Token(0), lease()),
             watch: None,
             holders: [holder(0, 1, self.times), holder(1, 2, self.times)],
             disk: Vec::new(),
@@ -278,8 +282,7 @@
 
 #[test]
 fn no_order_of_events_makes_two_hold() {
-    let lease = Lease::new(SPAN, Drift::ppm(250_000));
-    let times = Times { lease, ask_every: 8, renew_every: 8, stop_for: 0, give_for: 12, rest: 0 };
+    let times = Times { ask_every: 8, renew_every: 8, stop_for: 0, give_for: 12, rest: 0 };
     // A slow holder beside a fast keeper is the worst pair.
     let run = |ticks, faults, rates| {
         let duties = Duties { ticks, faults, rates, times };
--- a/crates/duties/tests/simulation.rs
+++ b/crates/duties/tests/simulation.rs
@@ -112,3 +112,24 @@
     assert_eq!(*world.keeper(new).register(), register);
     assert_eq!(world.keeper(new).voters().len(), 3);
 }
+
+#[test]
+fn a_lease_that_came_with_a_snapshot_lapses_too() {
+    let mut world = World::new(13, 3, 1);
+    world.brokers[0].holder.want();
+    assert!(world.until(LEASE * 4, |w| !w.holding().is_empty()));
+    world.crash_broker(0);
+    let leader = world.leader().expect("leads");
+    let lost = world.keepers().into_iter().find(|k| *k != leader).expect("another");
+    world.lose_disk(lost);
+    // The change of keepers is the log's last entry, and a snapshot holds all up to there.
+    assert!(world.until(LEASE / 2, |w| w.joining.is_none()));
+    world.run(LEASE / 8);
+    world.keepers().into_iter().for_each(|k| world.restart_keeper(k));
+    world.run(LEASE * 4);
+    let leader = world.leader().expect("leads");
+    assert_eq!(
+        world.keeper(leader).register().holder_of(&world::duty()).map(|(_, h)| h.cloned()),
+        Some(None)
+    );
+}
--- a/crates/duties/tests/units.rs
+++ b/crates/duties/tests/units.rs
@@ -29,7 +29,7 @@
 }
 
 fn register() -> Register {
-    Register::new(&[duty()], &[KeeperId(1)], Token(0))
+    Register::new(&[duty()], &[KeeperId(1)], Token(0), lease())
 }
 
 #[test]
@@ -127,7 +127,7 @@
 fn granted(h: &Holder, ask: u64, token: u64) -> Answer {
     let (open, last_work) = (Vec::new(), WorkId(0));
     let (to, token, term) = (h.process().clone(), Token(token), Term(1));
-    let grant = Grant { process: to.clone(), ask: AskId(ask), token, term, open, last_work };
+    let grant = Grant { process: to.clone(), ask: AskId(ask), token, term, lease: lease(), open, last_work };
     Answer { to, duty: duty(), of: Of::Ask(AskId(ask)), said: Said::Granted(grant) }
 }
 
@@ -244,16 +244,16 @@
 
 #[test]
 fn a_keeper_starts_from_its_own_whole_disk_only() {
-    let settings = Settings { tick_every: 1000, lease: lease(), keep: 40, seed: 1 };
+    let settings = Settings { tick_every: 1000, keep: 40, seed: 1 };
     let (keepers, duties) = (vec![KeeperId(1), KeeperId(2)], vec![duty()]);
-    let founding = Founding { group: 1, keepers, duties, tokens_after: Token(6) };
+    let founding = Founding { group: 1, keepers, duties, lease: lease(), tokens_after: Token(6) };
     let mut store = MemoryStore::default();
     assert!(matches!(Keeper::open(&mut store, settings), Err(NoStart::Empty)));
     assert!(matches!(Keeper::found(&mut store, KeeperId(3), &founding), Err(NoStart::Keepers)));
     Keeper::found(&mut store, KeeperId(1), &founding).expect("founds");
     assert!(matches!(Keeper::found(&mut store, KeeperId(1), &founding), Err(NoStart::InUse)));
     assert!(matches!(Keeper::join(&mut store, 1, KeeperId(3)), Err(NoStart::InUse)));
-    let keeper = Keeper::open(&mut store, settings).ok().expect("opens");
+    let keeper = Keeper::open(&mut store, settings).expect("opens");
     assert_eq!(keeper.register().holder_of(&duty()), Some((Token(6), None)));
     // It had agreed to more than is there.
     let hard = postcard::to_allocvec(&(5u64, 0u64, 9u64)).expect("writes");
--- a/crates/duties/tests/world/mod.rs
+++ b/crates/duties/tests/world/mod.rs
@@ -205,6 +205,7 @@
             group: seed,
             keepers: ids.clone(),
             duties: vec![duty(), DutyName::publish()],
+            lease: lease(),
             tokens_after: Token(0),
         };
         let mut rng = Rng(seed);
@@ -256,7 +257,7 @@
         let seed = self.rng.next();
         let node = self.nodes.get_mut(&id).expect("a keeper");
         node.store.broken = false;
-        let settings = Settings { tick_every: LEASE / 20, lease: lease(), keep: 40, seed };
+        let settings = Settings { tick_every: LEASE / 20, keep: 40, seed };
         node.keeper = Some(Keeper::open(&mut node.store, settings).expect("opens"));
     }
 
