--- a/crates/duties/src/keeper.rs
+++ b/crates/duties/src/keeper.rs
@@ -139,12 +139,11 @@
     }
 }
 
-/// When a lease was last granted or renewed, on this keeper's clock.
+/// When a lease is over, on this keeper's clock: counted from when it applied the grant or the last renewal.
 #[derive(Debug)]
 struct Watch {
     token: Token,
     renewals: u64,
-    since: Micros,
     lapse_at: Micros,
 }
 
@@ -459,9 +458,8 @@
         let old = std::mem::take(&mut self.watches);
         for (duty, token, renewals) in self.register.leases() {
             let known = old.get(duty).filter(|w| w.token == token && w.renewals == renewals);
-            let since = known.map_or(now, |w| w.since);
             let lapse_at = known.map_or(now + kept, |w| w.lapse_at);
-            self.watches.insert(duty.clone(), Watch { token, renewals, since, lapse_at });
+            self.watches.insert(duty.clone(), Watch { token, renewals, lapse_at });
         }
     }
 
@@ -471,7 +469,7 @@
         let kept = self.register.lease().kept();
         let mut over = Vec::new();
         for (duty, watch) in &mut self.watches {
-            if now.saturating_sub(watch.since) >= kept && now >= watch.lapse_at {
+            if now >= watch.lapse_at {
                 // Once more if it does not reach the log.
                 watch.lapse_at = now + kept / 8;
                 over.push(Command::Lapse {
--- a/crates/duties/src/peer.rs
+++ b/crates/duties/src/peer.rs
@@ -44,7 +44,7 @@
 }
 
 /// A message between keepers. The fields are those of the library.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[allow(missing_docs)]
 pub struct PeerMessage {
     pub kind: u8,
--- a/crates/duties/tests/units.rs
+++ b/crates/duties/tests/units.rs
@@ -3,7 +3,8 @@
 mod world;
 
 use plover_duties::holder::{NoWork, Phase, Times};
-use plover_duties::keeper::{Founding, Keeper, NoStart, Settings};
+use plover_duties::keeper::{Founding, Keeper, NoStart, Settings, Standing};
+use plover_duties::peer::PeerMessage;
 use plover_duties::receiver::{Fit, Unfit};
 use plover_duties::register::{Change, DUTIES_MAX, Grant, OPEN_MAX, Outcome, PAYLOAD_MAX, WAITING_MAX};
 use plover_duties::store::Records;
@@ -253,8 +254,14 @@
     Keeper::found(&mut store, KeeperId(1), &founding).expect("founds");
     assert!(matches!(Keeper::found(&mut store, KeeperId(1), &founding), Err(NoStart::InUse)));
     assert!(matches!(Keeper::join(&mut store, 1, KeeperId(3)), Err(NoStart::InUse)));
-    let keeper = Keeper::open(&mut store, settings).expect("opens");
+    let mut keeper = Keeper::open(&mut store, settings).expect("opens");
     assert_eq!(keeper.register().holder_of(&duty()), Some((Token(6), None)));
+    // It follows a leader of its own group only.
+    let heartbeat = PeerMessage { kind: 5, from: 2, to: 1, term: 9, ..PeerMessage::default() };
+    keeper.hear(heartbeat.clone(), 2);
+    assert_eq!(keeper.standing(), Standing::Leaderless);
+    keeper.hear(heartbeat, 1);
+    assert_eq!(keeper.standing(), Standing::Following(KeeperId(2)));
     // It had agreed to more than is there.
     let hard = postcard::to_allocvec(&(5u64, 0u64, 9u64)).expect("writes");
     store.save(&Records { hard: Some(hard), ..Records::default() }).expect("saves");
