--- a/crates/duties/tests/mutants.rs
+++ b/crates/duties/tests/mutants.rs
@@ -182,8 +182,11 @@
     all
 }
 
+/// In what order tokens were granted and taken over by receivers, and when they were granted.
+type Seen = (Vec<(Token, Option<usize>)>, Vec<Micros>);
+
 /// What the run showed, where nothing broke.
-fn replay(n: usize, route: &Route) -> Result<Vec<(Token, Option<usize>)>, Vec<String>> {
+fn replay(n: usize, route: &Route) -> Result<Seen, Vec<String>> {
     let mut world = World::new(3, 3, 3);
     let route = route.clone();
     world.meddle = Some(Box::new(move |sent, out| {
@@ -196,7 +199,8 @@
     if world.holding().is_empty() {
         world.checker.broken.push("nobody holds in the end".into());
     }
-    if world.checker.broken.is_empty() { Ok(world.checker.seen) } else { Err(world.checker.broken) }
+    let checker = world.checker;
+    if checker.broken.is_empty() { Ok((checker.seen, checker.grants)) } else { Err(checker.broken) }
 }
 
 #[test]
@@ -210,7 +214,8 @@
         for _ in 0..8 {
             scope.spawn(|| {
                 while let Some((n, kind, route)) = all.get(next.fetch_add(1, Ordering::Relaxed)) {
-                    let result = replay(*n, route).map(|seen| seen == good.checker.seen);
+                    let same = |(seen, grants)| seen == good.checker.seen && grants == good.checker.grants;
+                    let result = replay(*n, route).map(same);
                     results.lock().expect("locks").push((*n, *kind, result));
                 }
             });
--- a/crates/duties/tests/world/mod.rs
+++ b/crates/duties/tests/world/mod.rs
@@ -9,6 +9,7 @@
 use plover_duties::{Fence, Holder, MemoryStore, Receiver, Word};
 use plover_model::time::{MILLI, Micros, SECOND};
 use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{Hash, Hasher};
 
 pub const LEASE: Micros = 4 * SECOND;
 pub const DRIFT: u32 = 1000;
@@ -186,6 +187,7 @@
     receivers: Vec<(Receiver, Vec<u8>)>,
     net: BTreeMap<(Micros, u64), (At, At, Parcel)>,
     parcels: u64,
+    links: BTreeMap<(At, At), u64>,
     placed: u64,
     starts: u64,
 }
@@ -232,6 +234,7 @@
             receivers: vec![Default::default(); 2],
             net: BTreeMap::new(),
             parcels: 0,
+            links: BTreeMap::new(),
             placed: 0,
             starts: 0,
         };
@@ -357,15 +360,21 @@
         let number = self.parcels;
         self.parcels += 1;
         let (lost, copied, held) = self.faults;
+        // Chance by link and place on it: one parcel less somewhere shifts nothing elsewhere.
+        let place = self.links.entry((from, to)).or_default();
+        *place += 1;
+        let mut hash = std::hash::DefaultHasher::new();
+        (self.group, from, to, *place).hash(&mut hash);
+        let mut rng = Rng(hash.finish());
         let delay = |rng: &mut Rng| match rng.percent(held) {
             true => rng.below(LEASE * 2),
             false => MILLI + rng.below(20 * MILLI),
         };
-        let mut route: Route = vec![(delay(&mut self.rng), parcel.clone())];
-        if self.rng.percent(copied) {
-            route.push((delay(&mut self.rng), parcel.clone()));
+        let mut route: Route = vec![(delay(&mut rng), parcel.clone())];
+        if rng.percent(copied) {
+            route.push((delay(&mut rng), parcel.clone()));
         }
-        if self.rng.percent(lost) {
+        if rng.percent(lost) {
             route.pop();
         }
         if let Some(meddle) = &mut self.meddle {
