--- a/crates/load/src/ask.rs
+++ b/crates/load/src/ask.rs
@@ -17,6 +17,8 @@
     pub patience: Duration,
     /// The idempotency key, where the class needs one.
     pub key: Option<String>,
+    /// The text that its parts carry.
+    pub text: String,
 }
 
 /// The text that parts carry.
@@ -26,7 +28,20 @@
     /// A query of this id for these shards.
     pub fn new(id: impl Into<String>, class: &str, shards: &[usize]) -> Self {
         let patience = Duration::from_secs(4);
-        Ask { id: id.into(), class: class.to_owned(), shards: shards.to_vec(), patience, key: None }
+        Ask {
+            id: id.into(),
+            class: class.to_owned(),
+            shards: shards.to_vec(),
+            patience,
+            key: None,
+            text: TEXT.to_owned(),
+        }
+    }
+
+    /// With another text.
+    pub fn saying(mut self, text: &str) -> Self {
+        text.clone_into(&mut self.text);
+        self
     }
 
     /// Under an idempotency key.
@@ -46,7 +61,7 @@
         let portion = 1.0 / self.shards.len() as f64;
         let ranges: Vec<Value> =
             self.shards.iter().map(|s| json!({"range": s, "portion": portion})).collect();
-        let body = json!({"ranges": ranges, "predicate": TEXT}).to_string().into_bytes();
+        let body = json!({"ranges": ranges, "predicate": self.text}).to_string().into_bytes();
         let mut builder = Request::post(format!("http://broker.svc/{}", self.class))
             .header("x-request-id", &self.id)
             .header("x-class", &self.class)
@@ -98,3 +113,8 @@
         }
     }
 }
+
+/// A call without a body.
+pub fn get(path: &str) -> Request<Vec<u8>> {
+    Request::get(format!("http://broker.svc{path}")).body(Vec::new()).unwrap_or_default()
+}
--- a/crates/load/src/direct.rs
+++ b/crates/load/src/direct.rs
@@ -1,6 +1,6 @@
 //! A connection to a data server, as a broker has it.
 
-use crate::ask::{Answer, Ask, TEXT};
+use crate::ask::{Answer, Ask};
 use async_io::Async;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use plover_frames::{FromServer, PartLine, call, decode};
@@ -25,8 +25,13 @@
         let ids: Vec<String> = ask.shards.iter().map(|s| format!("{}.{s}", ask.id)).collect();
         let wait_ms = ask.patience.as_millis() as u64;
         let parts = ids.iter().zip(&ask.shards);
-        let bytes =
-            call(parts.map(|(id, shard)| PartLine { id, shard: *shard, wait_ms, key: None, text: TEXT }));
+        let bytes = call(parts.map(|(id, shard)| PartLine {
+            id,
+            shard: *shard,
+            wait_ms,
+            key: None,
+            text: &ask.text,
+        }));
         self.stream.write_all(&bytes).await?;
         let (mut values, mut chunk) = (Vec::new(), [0; 4096]);
         while values.len() < ids.len() {
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -11,7 +11,7 @@
 mod open_loop;
 pub mod raw;
 
-pub use ask::{Answer, Ask};
-pub use http1::Http1;
+pub use ask::{Answer, Ask, get};
+pub use http1::{Http1, Idle};
 pub use http2::{Http2, Stream};
 pub use open_loop::{Load, Outcome, Target, open_loop};
--- a/crates/standins/src/discovery.rs
+++ b/crates/standins/src/discovery.rs
@@ -1,5 +1,6 @@
 //! A stand-in discovery: the list of data servers, and watches of it.
 
+use crate::view::{Called, Shown, Sight};
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
@@ -11,6 +12,7 @@
 use std::io;
 use std::net::TcpStream;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 const LIMITS: Limits = Limits { head: 16 * 1024, body: 64 * 1024 };
@@ -33,6 +35,8 @@
     silent: bool,
     /// When it was asked for the whole list.
     asked: Vec<Instant>,
+    /// The list as it was when the fleet had started, with its version.
+    first: Option<(u64, Value)>,
     /// Closed, and replaced, when something changes.
     changed: (Sender<()>, Receiver<()>),
 }
@@ -44,6 +48,7 @@
             entries: BTreeMap::new(),
             silent: false,
             asked: Vec::new(),
+            first: None,
             changed: async_channel::bounded(1),
         };
         Rc::new(Discovery { state: RefCell::new(state) })
@@ -66,6 +71,18 @@
         state.changed = async_channel::bounded(1);
     }
 
+    /// What it holds now is what it held at first.
+    pub(crate) fn keep_first(&self) {
+        let list = self.list(None);
+        let mut state = self.state.borrow_mut();
+        state.first = Some((state.rev, list));
+    }
+
+    /// What a view shows has changed: whoever waits looks again.
+    pub(crate) fn look_again(&self) {
+        self.state.borrow_mut().changed = async_channel::bounded(1);
+    }
+
     /// When it was asked for the whole list, up to the most that is kept.
     pub(crate) fn asked(&self) -> Vec<Instant> {
         self.state.borrow().asked.clone()
@@ -88,11 +105,13 @@
         json!({"rev": state.rev, "all": since.is_none(), "targets": targets})
     }
 
-    pub(crate) async fn connection(self: Rc<Self>, stream: Async<TcpStream>) {
-        let _ = self.serve(&stream).await;
+    pub(crate) async fn connection(self: Rc<Self>, stream: Async<TcpStream>, shown: Arc<Shown>) {
+        let _ = self.serve(&stream, &shown).await;
     }
 
-    async fn serve(&self, mut stream: &Async<TcpStream>) -> io::Result<()> {
+    async fn serve(&self, mut stream: &Async<TcpStream>, shown: &Shown) -> io::Result<()> {
+        let port = stream.get_ref().peer_addr()?.port();
+        let mut total = 0;
         let mut decoder = RequestDecoder::new(LIMITS);
         let (mut input, mut chunk) = (Vec::new(), vec![0; 4096]);
         loop {
@@ -105,17 +124,20 @@
                     },
                 }
             };
-            let response = self.answer(&message.value).await;
+            let response = self.answer(&message.value, port, shown).await;
             let reader =
                 Reader { version: Version::HTTP_11, head_only: false, keep_alive: message.keep_alive };
-            stream.write_all(&encode_response(&response, reader)).await?;
+            let bytes = encode_response(&response, reader);
+            stream.write_all(&bytes).await?;
+            total += bytes.len() as u64;
+            shown.wrote(port, total, response.body());
             if !message.keep_alive {
                 return Ok(());
             }
         }
     }
 
-    async fn answer(&self, request: &Request<Vec<u8>>) -> Response<Vec<u8>> {
+    async fn answer(&self, request: &Request<Vec<u8>>, port: u16, shown: &Shown) -> Response<Vec<u8>> {
         if request.uri().path() != "/api/targets" {
             let mut response = Response::new(Vec::new());
             *response.status_mut() = http::StatusCode::NOT_FOUND;
@@ -133,14 +155,26 @@
                 state.asked.push(Instant::now());
             }
         }
-        let until = Instant::now() + Duration::from_millis(number("wait").unwrap_or(0).min(LONGEST_WAIT));
+        let wait_ms = number("wait").unwrap_or(0).min(LONGEST_WAIT);
+        let at = Instant::now();
+        shown.called(Called { at, port, wait_ms });
+        let until = at + Duration::from_millis(wait_ms);
         loop {
-            let (news, silent, changed) = {
+            let (first, rev, silent, changed) = {
                 let state = self.state.borrow();
-                (index.is_none_or(|i| i != state.rev), state.silent, state.changed.1.clone())
+                let sight = shown.sight();
+                let first = state.first.clone().filter(|_| sight == Sight::Old);
+                let rev = first.as_ref().map_or(state.rev, |(rev, _)| *rev);
+                (first, rev, state.silent || sight == Sight::Silent, state.changed.1.clone())
             };
+            let news = index.is_none_or(|i| i != rev);
             if !silent && (news || Instant::now() >= until) {
-                return Response::new(self.list(index).to_string().into_bytes());
+                let list = match first {
+                    Some((_, list)) if news => list,
+                    Some((rev, _)) => json!({"rev": rev, "all": false, "targets": []}),
+                    None => self.list(index),
+                };
+                return Response::new(shown.tells(list).to_string().into_bytes());
             }
             let changed = async { _ = changed.recv().await };
             let late = async {
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -3,6 +3,7 @@
 use crate::books::Books;
 use crate::discovery::Discovery;
 use crate::server::{Fault, Server, Switch, accept};
+use crate::view::{Shown, Sight, View};
 use async_channel::Sender;
 use async_executor::{LocalExecutor, Task};
 use async_io::Async;
@@ -42,6 +43,8 @@
     Asked(std::sync::mpsc::Sender<Vec<Instant>>),
     Kill(usize),
     Revive(usize),
+    View(TcpListener, Arc<Shown>),
+    LookAgain,
 }
 
 /// A discovery and some data servers. Dropped, all of them end.
@@ -120,8 +123,9 @@
                 list.set(one.entry("active"));
                 running.insert(n, one);
             }
+            list.keep_first();
             let _ = ready.send(list.list(None));
-            let serve = serve_discovery(list.clone(), discovery_listener, executor.clone());
+            let serve = serve_discovery(list.clone(), discovery_listener, Arc::default(), executor.clone());
             let _discovery = executor.spawn(serve);
             async_io::block_on(executor.run(async {
                 while let Ok(word) = heard.recv().await {
@@ -183,6 +187,21 @@
         asked.recv().unwrap_or_default()
     }
 
+    /// One broker's discovery, which tells the servers of these names at these addresses.
+    pub fn view(&self, endpoints: BTreeMap<String, SocketAddr>) -> io::Result<View> {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+        let address = listener.local_addr()?;
+        let shown = Arc::new(Shown::new(endpoints));
+        self.say(Word::View(listener, shown.clone()));
+        Ok(View { address, shown })
+    }
+
+    /// What a broker sees of the list from now on.
+    pub fn show(&self, view: &View, sight: Sight) {
+        view.shown.set_sight(sight);
+        self.say(Word::LookAgain);
+    }
+
     /// Whether discovery takes calls and answers none.
     pub fn silence_discovery(&self, silent: bool) {
         self.say(Word::Silent(silent));
@@ -219,7 +238,7 @@
 async fn obey(
     word: Word,
     running: &mut BTreeMap<usize, Running>,
-    list: &Discovery,
+    list: &Rc<Discovery>,
     executor: &Rc<LocalExecutor<'static>>,
     plan: Plan,
 ) {
@@ -234,6 +253,10 @@
                 list.set(one.entry(state));
             }
         }
+        Word::View(listener, shown) => {
+            executor.spawn(serve_discovery(list.clone(), listener, shown, executor.clone())).detach();
+        }
+        Word::LookAgain => list.look_again(),
         Word::Kill(n) => {
             if let Some(one) = running.get_mut(&n) {
                 if let Some(task) = one.listening.take() {
@@ -261,9 +284,14 @@
     }
 }
 
-async fn serve_discovery(list: Rc<Discovery>, listener: TcpListener, executor: Rc<LocalExecutor<'static>>) {
+async fn serve_discovery(
+    list: Rc<Discovery>,
+    listener: TcpListener,
+    shown: Arc<Shown>,
+    executor: Rc<LocalExecutor<'static>>,
+) {
     let Ok(listener) = Async::new(listener) else { return };
     while let Ok((stream, _)) = listener.accept().await {
-        executor.spawn(list.clone().connection(stream)).detach();
+        executor.spawn(list.clone().connection(stream, shown.clone())).detach();
     }
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -11,12 +11,14 @@
 mod list;
 mod program;
 mod server;
+mod view;
 
 pub use deployment::Deployment;
 pub use fleet::{Fleet, Plan, ServerHandle};
 pub use list::{Entry, List};
 pub use program::{Inherit, Program};
 pub use server::Fault;
+pub use view::{Called, Sight, View, Wrote};
 
 /// The value that data servers give for a part: whoever holds the shard, the same.
 pub fn value(shard: usize, text: &str) -> String {
--- a/crates/standins/src/list.rs
+++ b/crates/standins/src/list.rs
@@ -8,6 +8,7 @@
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::thread::JoinHandle;
 
 enum Word {
@@ -74,7 +75,7 @@
             let _accepting = executor.spawn(async move {
                 let Ok(listener) = Async::new(listener) else { return };
                 while let Ok((stream, _)) = listener.accept().await {
-                    spawner.spawn(serving.clone().connection(stream)).detach();
+                    spawner.spawn(serving.clone().connection(stream, Arc::default())).detach();
                 }
             });
             async_io::block_on(executor.run(async {
--- a/crates/standins/src/program.rs
+++ b/crates/standins/src/program.rs
@@ -166,6 +166,11 @@
         std::fs::rename(new, self.files.join("config.json"))
     }
 
+    /// How it ended, if it has.
+    pub fn ended(&mut self) -> io::Result<Option<ExitStatus>> {
+        self.child.try_wait()
+    }
+
     /// Waits for its end.
     pub fn exit(&mut self) -> io::Result<ExitStatus> {
         let until = Instant::now() + BOUND;
--- /dev/null
+++ b/crates/trial/src/relay/tests.rs
@@ -0,0 +1,160 @@
+//! Each fault on a pair of plain connections. Silence is shown by what comes after it, never by a wait that is short.
+
+use super::*;
+use std::io::ErrorKind;
+
+const LONG: Duration = Duration::from_secs(30);
+/// Long enough for a byte to come through where nothing holds it; a slow machine makes the test weaker, not red.
+const WHILE: Duration = Duration::from_millis(60);
+
+/// A relay, the side that connects, and the side that accepts.
+async fn pair() -> (Relay, TcpListener, TcpStream, TcpStream) {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    let relay = Relay::start(Some(listener.local_addr().unwrap()), true).await.unwrap();
+    let (near, far) = connect(&relay, &listener).await;
+    (relay, listener, near, far)
+}
+
+async fn connect(relay: &Relay, listener: &TcpListener) -> (TcpStream, TcpStream) {
+    let near = TcpStream::connect(relay.address).await.unwrap();
+    (near, listener.accept().await.unwrap().0)
+}
+
+async fn passes(from: &mut TcpStream, to: &mut TcpStream) {
+    from.write_all(b"x").await.unwrap();
+    assert_eq!(tokio::time::timeout(LONG, to.read_u8()).await.unwrap().unwrap(), b'x');
+}
+
+/// Nothing has come.
+async fn is_quiet(stream: &mut TcpStream) {
+    let read = tokio::time::timeout(WHILE, stream.read_u8()).await;
+    assert!(read.is_err(), "{read:?}");
+}
+
+async fn is_reset(stream: &mut TcpStream) {
+    let read = tokio::time::timeout(LONG, stream.read_u8()).await.unwrap();
+    assert_eq!(read.unwrap_err().kind(), ErrorKind::ConnectionReset);
+}
+
+async fn closed(relay: &Relay, many: usize) -> Vec<Closer> {
+    let begun = Instant::now();
+    while relay.closed().len() < many && begun.elapsed() < LONG {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    relay.closed().iter().map(|c| c.by).collect()
+}
+
+#[tokio::test]
+async fn a_stall_holds_one_way_and_loses_nothing() {
+    let (relay, _listener, mut near, mut far) = pair().await;
+    relay.apply(Fault::Stall(Way::Forward, 0));
+    passes(&mut far, &mut near).await;
+    near.write_all(b"y").await.unwrap();
+    is_quiet(&mut far).await;
+    relay.apply(Fault::Heal);
+    assert_eq!(far.read_u8().await.unwrap(), b'y');
+    relay.apply(Fault::Stall(Way::Back, 0));
+    passes(&mut near, &mut far).await;
+    far.write_all(b"z").await.unwrap();
+    is_quiet(&mut near).await;
+}
+
+#[tokio::test]
+async fn a_swallowed_byte_leaves_no_hole() {
+    let (relay, listener, mut near, mut far) = pair().await;
+    let (mut other, mut behind) = connect(&relay, &listener).await;
+    relay.apply(Fault::Swallow(Way::Forward, 0));
+    near.write_all(b"y").await.unwrap();
+    is_quiet(&mut far).await;
+    relay.apply(Fault::Heal);
+    is_reset(&mut far).await;
+    is_reset(&mut near).await;
+    // One that lost nothing goes on.
+    passes(&mut other, &mut behind).await;
+    assert_eq!(closed(&relay, 1).await, [Closer::Fault]);
+}
+
+#[tokio::test]
+async fn a_half_open_connection_is_silent_and_a_new_one_works() {
+    let (relay, listener, mut near, mut far) = pair().await;
+    relay.apply(Fault::HalfOpen);
+    relay.apply(Fault::Heal);
+    near.write_all(b"y").await.unwrap();
+    is_quiet(&mut far).await;
+    // Not even its end is told.
+    drop(near);
+    is_quiet(&mut far).await;
+    let (mut near, mut far) = connect(&relay, &listener).await;
+    passes(&mut near, &mut far).await;
+}
+
+#[tokio::test]
+async fn a_cut_silences_all_and_resets_them_once_it_is_healed() {
+    let (relay, listener, mut near, mut far) = pair().await;
+    relay.apply(Fault::Cut(0));
+    let mut new = TcpStream::connect(relay.address).await.unwrap();
+    far.write_all(b"y").await.unwrap();
+    is_quiet(&mut near).await;
+    is_quiet(&mut new).await;
+    relay.apply(Fault::Heal);
+    is_reset(&mut near).await;
+    is_reset(&mut far).await;
+    is_reset(&mut new).await;
+    let (mut near, mut far) = connect(&relay, &listener).await;
+    passes(&mut near, &mut far).await;
+}
+
+#[tokio::test]
+async fn resets_and_refusals_are_seen_by_both_sides() {
+    let (relay, listener, mut near, mut far) = pair().await;
+    relay.apply(Fault::Reset);
+    is_reset(&mut near).await;
+    is_reset(&mut far).await;
+    let (mut near, mut far) = connect(&relay, &listener).await;
+    passes(&mut near, &mut far).await;
+    relay.apply(Fault::Refuse(0));
+    is_reset(&mut near).await;
+    is_reset(&mut TcpStream::connect(relay.address).await.unwrap()).await;
+    relay.apply(Fault::Heal);
+    let (mut near, mut far) = connect(&relay, &listener).await;
+    passes(&mut near, &mut far).await;
+    relay.set_target(None);
+    is_reset(&mut TcpStream::connect(relay.address).await.unwrap()).await;
+    let by = closed(&relay, 4).await;
+    assert_eq!(by, [Closer::Fault, Closer::Fault, Closer::Fault, Closer::Unreached]);
+}
+
+#[tokio::test]
+async fn a_delay_is_no_shorter_than_it_says() {
+    let (relay, _listener, mut near, mut far) = pair().await;
+    relay.apply(Fault::Delay(Way::Both, 80_000, 0));
+    let begun = Instant::now();
+    passes(&mut near, &mut far).await;
+    assert!(begun.elapsed() >= Duration::from_millis(80));
+    passes(&mut far, &mut near).await;
+    assert!(begun.elapsed() >= Duration::from_millis(160));
+}
+
+#[tokio::test]
+async fn ends_pass_and_what_was_handed_over_is_counted() {
+    let (relay, listener, mut near, mut far) = pair().await;
+    passes(&mut far, &mut near).await;
+    passes(&mut far, &mut near).await;
+    let port = far.peer_addr().unwrap().port();
+    let begun = Instant::now();
+    // It is noted just after it is handed over.
+    while relay.passed().len() < 2 && begun.elapsed() < LONG {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    let passed: Vec<(u16, u64)> = relay.passed().iter().map(|p| (p.port, p.total)).collect();
+    assert_eq!(passed, [(port, 1), (port, 2)]);
+    far.shutdown().await.unwrap();
+    assert_eq!(near.read(&mut [0; 4]).await.unwrap(), 0);
+    drop(near);
+    assert_eq!(closed(&relay, 1).await, [Closer::Broker]);
+    let (near, mut far) = connect(&relay, &listener).await;
+    drop(near);
+    assert_eq!(far.read(&mut [0; 4]).await.unwrap(), 0);
+    drop(far);
+    assert_eq!(closed(&relay, 2).await[1], Closer::Client);
+}
--- /dev/null
+++ b/crates/trial/src/setup.rs
@@ -0,0 +1,57 @@
+//! What a trial is played with.
+
+use crate::rules::Rules;
+use plover_model::time::{MILLI, Micros, SECOND};
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// Brokers, data servers and load of a trial.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// The program's executable.
+    pub exe: PathBuf,
+    /// Brokers, 1 to 60.
+    pub brokers: usize,
+    /// Data servers.
+    pub servers: usize,
+    /// Cells that they take their places in by turns.
+    pub cells: usize,
+    /// How long a part takes.
+    pub work: Duration,
+    /// How long the load lasts.
+    pub long: Micros,
+    /// Queries a second of all clients together, without retries.
+    pub rate: f64,
+    /// Text of each broker's operator file. `{broker}` stands for its number, `{brokers}` for how many there are,
+    /// `{state}` for its state directory, `{peer-listen}` for the address where it is to listen for other brokers, and
+    /// `{peers}` for where it reaches the others: `b1=ADDRESS`, with spaces between.
+    pub operator: String,
+    /// Whether there are links between brokers.
+    pub peers: bool,
+    /// What is judged.
+    pub rules: Rules,
+    /// Where the machine keeps the rig waiting for longer, the trial is void.
+    pub stall_bound: Micros,
+    /// Seed of the load and of the brokers.
+    pub seed: u64,
+}
+
+impl Setup {
+    /// A small trial of this program: three brokers, four data servers, four seconds of light load.
+    pub fn new(exe: impl Into<PathBuf>) -> Self {
+        Setup {
+            exe: exe.into(),
+            brokers: 3,
+            servers: 4,
+            cells: 1,
+            work: Duration::from_millis(10),
+            long: 4 * SECOND,
+            rate: 60.0,
+            operator: String::new(),
+            peers: false,
+            rules: Rules::default(),
+            stall_bound: 250 * MILLI,
+            seed: 1,
+        }
+    }
+}
