--- a/crates/trial/tests/rules.rs
+++ b/crates/trial/tests/rules.rs
@@ -154,6 +154,11 @@
     stopped(2000).refused(2050, "q").keeps();
     stopped(2000).refused(2051, "q").breaks_only(Rule::InTime);
     stopped(1000).refused(1051, "q").breaks_only(Rule::InTime);
+    // One that came as it stood still is new to it then.
+    let late = |at| s().asks(at, "q").life(100, 0, Life::Stopped).life(800, 0, Life::Continued);
+    late(50).refused(1850, "q").keeps();
+    late(50).refused(1851, "q").breaks_only(Rule::InTime);
+    late(49).refused(1100, "q").breaks_only(Rule::InTime);
 }
 
 #[test]
