--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -28,11 +28,14 @@
     pub work: Duration,
     /// After a start a server is warm after this time.
     pub warm_after: Duration,
+    /// Parts that a server works on at once; others wait. 0: all.
+    pub cores: usize,
 }
 
 impl Default for Plan {
     fn default() -> Self {
-        Plan { servers: 4, cells: 1, work: Duration::from_millis(2), warm_after: Duration::from_secs(10) }
+        let (work, warm_after) = (Duration::from_millis(2), Duration::from_secs(10));
+        Plan { servers: 4, cells: 1, work, warm_after, cores: 0 }
     }
 }
 
@@ -114,6 +117,7 @@
                     books: shared_books.clone(),
                     held: Cell::new(0),
                     count: Cell::new(0),
+                    cores: RefCell::new(vec![Instant::now(); plan.cores]),
                     alive: RefCell::new(async_channel::bounded(1)),
                 });
                 let task = executor.spawn(accept(server.clone(), listener, executor.clone()));
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -72,6 +72,8 @@
     pub(crate) held: Cell<usize>,
     /// Parts that came, for faults that hit every so many'th.
     pub(crate) count: Cell<u32>,
+    /// When each core is free; none: there are as many as are wanted.
+    pub(crate) cores: RefCell<Vec<Instant>>,
     /// Closed, and replaced, when all connections are to end.
     pub(crate) alive: RefCell<(Sender<()>, Receiver<()>)>,
 }
@@ -105,6 +107,14 @@
         }
     }
 
+    /// When work that has come is done. What is given up keeps its turn.
+    fn done(&self, now: Instant, takes: Duration) -> Instant {
+        let mut cores = self.cores.borrow_mut();
+        let Some(free) = cores.iter_mut().min() else { return now + takes };
+        *free = now.max(*free) + takes;
+        *free
+    }
+
     fn given_up(&self, place: usize) {
         self.held.set(self.held.get().saturating_sub(1));
         self.book(|b| b.ended(place, Ended::GivenUp, Instant::now()));
@@ -213,7 +223,7 @@
                     self.held.set(self.held.get() + 1);
                     out.borrow_mut().insert(part.id.clone(), place);
                     if fault != Fault::Hang {
-                        work.borrow_mut().insert((now + takes, place), part);
+                        work.borrow_mut().insert((self.done(now, takes), place), part);
                     }
                 }
                 Ok(())
--- a/crates/trial/src/play.rs
+++ b/crates/trial/src/play.rs
@@ -104,6 +104,7 @@
             servers: setup.servers,
             cells: setup.cells,
             work: setup.work,
+            cores: setup.cores,
             warm_after: Duration::from_micros(setup.rules.cold.warm_after),
         };
         let fleet = Fleet::start(plan)?;
--- a/crates/trial/src/setup.rs
+++ b/crates/trial/src/setup.rs
@@ -18,6 +18,8 @@
     pub cells: usize,
     /// How long a part takes.
     pub work: Duration,
+    /// Parts that a data server works on at once; others wait. 0: all.
+    pub cores: usize,
     /// How long the load lasts.
     pub long: Micros,
     /// Queries a second of all clients together, without retries.
@@ -45,6 +47,7 @@
             servers: 4,
             cells: 1,
             work: Duration::from_millis(10),
+            cores: 0,
             long: 4 * SECOND,
             rate: 60.0,
             operator: String::new(),
