Count what brokers and the rig waited for a core into the allowance

A query was 68 ms late on a machine with 29 ready threads on 8 cores while the heart saw 20 ms: a thread that sleeps is woken sooner than one that works.

--- a/crates/trial/src/play.rs
+++ b/crates/trial/src/play.rs
@@ -2,7 +2,7 @@
 
 use crate::broker::{Broker, Phase, is_ready, prepare, start};
 use crate::clients::{Clients, Door, Entrance};
-use crate::clock::{Clock, Heart};
+use crate::clock::{Clock, Heart, Waits};
 use crate::gather::gather;
 use crate::record::{Event, Life, Record, Seen};
 use crate::relay::Relay;
@@ -25,6 +25,8 @@
 
 /// How often processes are looked at.
 const LOOK: Duration = Duration::from_millis(20);
+/// How often what threads waited for a core is looked at.
+const WAITS: Micros = 60 * MILLI;
 /// A front notices after this time that a broker has died, and that one was told to end.
 const NOTICES: (Micros, Micros) = (SECOND, 300 * MILLI);
 /// SIGKILL follows SIGTERM after the longest deadline and some.
@@ -77,6 +79,9 @@
     planned: u64,
     came: (mpsc::UnboundedSender<Came>, mpsc::UnboundedReceiver<Came>),
     files: Files,
+    waits: Waits,
+    /// When the waits are looked at next.
+    waits_due: Micros,
 }
 
 /// A directory for the state of all brokers; it goes with the trial.
@@ -138,6 +143,8 @@
             configuration["name"] = json!(format!("b{b}"));
             configuration["settings"]["PeersTotal"] = json!(setup.brokers);
             configuration["settings"]["Ordinal"] = json!(b);
+            // Before it has seen any, a broker takes a part for twice the work of a call.
+            configuration["settings"]["FamilyInfo"]["Call"] = json!(setup.work.as_secs_f64() * 500.0);
             let peers = links
                 .iter()
                 .filter(|(link, _)| link.from == Node::Broker(b) && matches!(link.to, Node::Broker(_)));
@@ -179,6 +186,8 @@
             planned: 0,
             came: mpsc::unbounded_channel(),
             files,
+            waits: Waits::default(),
+            waits_due: 0,
         })
     }
 
@@ -419,6 +428,13 @@
 
     /// Looks at the processes: whether one has ended, or does not end in time.
     fn look(&mut self) -> io::Result<()> {
+        let now = self.clock.now();
+        if now >= self.waits_due {
+            self.waits_due = now + WAITS;
+            let pids: Vec<u32> =
+                self.brokers.iter().filter_map(|b| Some(b.program.as_ref()?.pid())).collect();
+            self.events.extend(self.waits.look(now, &pids));
+        }
         for n in 0..self.brokers.len() {
             let broker = &mut self.brokers[n];
             let phase = broker.phase;
