--- a/crates/trial/src/clients.rs
+++ b/crates/trial/src/clients.rs
@@ -193,7 +193,10 @@
                 // A kept connection that ends before any of the answer: the close may have crossed the request.
                 Ok(Err(_)) if !fresh && !kept.connection.has_begun() => {
                     self.saw(Seen::Crossed { query: query.clone() });
-                    let Some(new) = self.open(entrance).await else { return false };
+                    let Some(new) = self.open(entrance).await else {
+                        self.saw(Seen::Lost { query, port: 0, fresh: true });
+                        return false;
+                    };
                     (kept, fresh) = (new, true);
                 }
                 Ok(Err(_)) => {
--- a/crates/trial/src/record.rs
+++ b/crates/trial/src/record.rs
@@ -41,7 +41,7 @@
     Lost {
         /// The query's id.
         query: String,
-        /// The client's port on it.
+        /// The client's port on it; 0: it got none.
         port: u16,
         /// Whether the query was the first on it.
         fresh: bool,
--- a/crates/trial/src/rules/index.rs
+++ b/crates/trial/src/rules/index.rs
@@ -120,6 +120,9 @@
 
     /// Who closed a client's connection that was in use at that moment.
     pub(super) fn closer(&self, broker: usize, port: u16, at: Micros) -> Option<Closer> {
+        if port == 0 {
+            return Some(Closer::Unreached);
+        }
         let closed = self.closed.get(&(broker, port))?;
         closed.iter().find(|(closed, _)| *closed >= at).map(|(_, by)| *by)
     }
--- a/crates/trial/tests/rules.rs
+++ b/crates/trial/tests/rules.rs
@@ -119,6 +119,10 @@
     story(5).keeps();
     story(5).saw(6, crossed.clone()).breaks_only(Rule::Answered);
     story(5).works(6, "q").keeps();
+    // The second way led nowhere.
+    let lost = |port| Seen::Lost { query: "q".to_owned(), port, fresh: true };
+    s().asks(0, "q").saw(5, crossed.clone()).saw(6, lost(0)).keeps();
+    s().asks(0, "q").saw(5, crossed.clone()).saw(6, lost(9)).breaks_only(Rule::Answered);
     story(5).works(5, "q").breaks_only(Rule::Answered);
 }
 
