--- a/crates/trial/src/broker.rs
+++ b/crates/trial/src/broker.rs
@@ -1,7 +1,6 @@
 //! One broker's process through its lives.
 
 use crate::script::State;
-use plover_model::time::Micros;
 use plover_standins::Program;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
@@ -18,8 +17,8 @@
     Starting,
     /// It runs.
     Up,
-    /// It was told to end, at that time, and is started again then.
-    Ending(Micros, State),
+    /// It was told to end, and was looked at so often since; it is started again once it has.
+    Ending(u32, State),
 }
 
 /// One broker. The player owns it: nobody else reaps its process, so that a signal never goes to a stranger.
--- a/crates/trial/src/rules/mod.rs
+++ b/crates/trial/src/rules/mod.rs
@@ -117,7 +117,8 @@
 impl Rule {
     /// Whether a slow machine alone may seem to break it.
     pub fn is_timed(self) -> bool {
-        matches!(self, Rule::InTime | Rule::OneOut | Rule::Window | Rule::Drain | Rule::Cold)
+        // `Answered` too: clients leave, and processes are killed, by the clock.
+        matches!(self, Rule::Answered | Rule::InTime | Rule::OneOut | Rule::Window | Rule::Drain | Rule::Cold)
     }
 }
 
