--- a/crates/trial/tests/rules.rs
+++ b/crates/trial/tests/rules.rs
@@ -106,6 +106,14 @@
     s().asks(10, "q").faulty(0, Link::clients(0), 9).breaks_only(Rule::Answered);
     s().asks(10, "q").faulty(0, Link::clients(0), 10).keeps();
     s().asks(10, "q").faulty(0, Link::clients(1), 10).breaks_only(Rule::Answered);
+    // Its connection was cut half-open before, or is a newer one.
+    let half = Seen::Faulty { link: Link::clients(0), until: 50 * MILLI, lasting: true };
+    let mut kept = s().asks(100, "q").saw(50, half);
+    kept.clone().breaks_only(Rule::Answered);
+    if let Seen::Asked(asked) = &mut kept.0[2].seen {
+        asked.connected = 50 * MILLI;
+    }
+    kept.keeps();
     // One that was told to end answers what it has taken.
     let told = s().asks(0, "q").life(5, 0, Life::Told);
     told.clone().life(60, 0, Life::Ended).lost(60, "q", false, Closer::Broker).breaks_only(Rule::Answered);
@@ -272,16 +280,22 @@
 /// A server that does a hundred parts a second bears, as it starts, 45 in a second and what chance adds: 45 + 3 x 6.7 + 3.
 #[test]
 fn a_cold_server_is_not_pushed_over_by_those_that_know() {
-    let load = |parts: usize, by_one: usize, told: &[usize]| {
-        let mut story = s().saw(1000, Seen::Revived { server: 0 });
-        story = told.iter().fold(story, |story, b| story.told(1001, *b, true, Some(1000)));
+    let sends = |mut story: Story, ms: Micros, parts: usize, by_one: usize| {
         for n in 0..parts {
-            let (id, broker) = (format!("q{n}"), usize::from(n >= by_one));
-            story = story.asks_for(1002, &id, broker, 0).refused(1900, &id);
-            story = story.attempt(1002, &id, 0, 0, Some((1003, true)));
+            let (id, broker) = (format!("q{ms}-{n}"), usize::from(n >= by_one));
+            story = story.asks_for(ms, &id, broker, 0).refused(ms + 900, &id);
+            story = story.attempt(ms, &id, 0, 0, Some((ms + 1, true)));
         }
         story
     };
+    let load = |parts: usize, by_one: usize, told: &[usize]| {
+        let story = s().saw(1000, Seen::Revived { server: 0 });
+        let story = told.iter().fold(story, |story, b| story.told(1001, *b, true, Some(1000)));
+        sends(story, 1002, parts, by_one)
+    };
+    // Within one window, or in two.
+    sends(load(68, 34, &[0, 1]), 2001, 60, 30).breaks_only(Rule::Cold);
+    sends(load(68, 34, &[0, 1]), 2002, 60, 30).keeps();
     load(68, 34, &[0, 1]).keeps();
     load(69, 34, &[0, 1]).breaks_only(Rule::Cold);
     // Two thirds came from one that knew, or more.
