--- a/crates/ploverport/tests/trial/drawn.rs
+++ b/crates/ploverport/tests/trial/drawn.rs
@@ -4,7 +4,7 @@
 use crate::fleet::setup;
 use plover_model::time::{MILLI, SECOND};
 use plover_trial::record::Seen;
-use plover_trial::rules::Verdict;
+use plover_trial::rules::{Verdict, judged};
 use plover_trial::{Script, Setup, Shape, trial};
 
 fn number(name: &str, usual: u64) -> u64 {
@@ -17,8 +17,8 @@
     let (first, many) = (number("PLOVER_SEED", 1), number("PLOVER_TRIALS", 30));
     let brokers = number("PLOVER_BROKERS", 4) as usize;
     println!(
-        "{:>6} {:>5} {:>7} {:>7} {:>8} {:>7} {:>6} {:>9}  verdict",
-        "seed", "steps", "queries", "served", "refused", "failed", "lost", "stall ms"
+        "{:>6} {:>5} {:>7} {:>7} {:>7} {:>8} {:>7} {:>6} {:>9}  verdict",
+        "seed", "steps", "queries", "judged", "served", "refused", "failed", "lost", "stall ms"
     );
     let mut broken = Vec::new();
     for seed in first..first + many {
@@ -33,9 +33,10 @@
             Verdict::Broken(found) => format!("{:?}", found[0].rule),
         };
         println!(
-            "{seed:>6} {:>5} {:>7} {:>7} {:>8} {:>7} {:>6} {:>9}  {verdict}",
+            "{seed:>6} {:>5} {:>7} {:>7} {:>7} {:>8} {:>7} {:>6} {:>9}  {verdict}",
             script.steps().len(),
             count(|s| matches!(s, Seen::Asked(_))),
+            judged(&report.record, &setup.rules).0,
             count(|s| matches!(s, Seen::Answered { .. })),
             count(|s| matches!(s, Seen::Refused { .. })),
             count(|s| matches!(s, Seen::Failed { .. })),
--- a/crates/ploverport/tests/trial/fleet.rs
+++ b/crates/ploverport/tests/trial/fleet.rs
@@ -2,6 +2,7 @@
 
 use plover_model::time::{MILLI, Micros, SECOND};
 use plover_trial::record::{Life, Seen};
+use plover_trial::rules::judged;
 use plover_trial::script::{Act, Fault, Link, Sight, State, Step, Trouble, Way, What};
 use plover_trial::{Report, Script, Setup, trial};
 use std::path::{Path, PathBuf};
@@ -23,6 +24,8 @@
     let _one = ONE.lock().unwrap_or_else(PoisonError::into_inner);
     let report = trial(setup, script, TRIES).unwrap();
     assert!(report.is_kept(), "{report}");
+    let (judged, all) = judged(&report.record, &setup.rules);
+    assert!(2 * judged > all, "{judged} of {all} queries had to be answered: {report}");
     report
 }
 
--- a/crates/trial/src/rules/answers.rs
+++ b/crates/trial/src/rules/answers.rs
@@ -28,6 +28,27 @@
     found
 }
 
+/// How many queries are judged by whether they were answered, of how many.
+pub(super) fn judged(index: &Index<'_>) -> (usize, usize) {
+    let judged = index.queries.values().filter(|query| time_up(index, query).is_some()).count();
+    (judged, index.queries.len())
+}
+
+/// When a client's time is up, as its broker can know it. `None`: it need not have been answered.
+fn time_up(index: &Index<'_>, query: &Query<'_>) -> Option<Micros> {
+    let broker = query.asked.broker;
+    // What came as a broker stood still it cannot tell from what came as it awoke; and what came due meanwhile it answers
+    // at once then.
+    let awake = index.awake(broker, query.at + index.slack)?;
+    let read = if awake > query.at + index.slack { awake } else { query.at };
+    let up = index.awake(broker, read + query.asked.patience)?;
+    let late = up + index.slack;
+    let link = Link::clients(broker);
+    let held_up = index.faulty(link, query.at, late) || index.severed(link, query.asked.connected, late);
+    let ran = index.started(broker, query.at).is_some() && !index.cut_short(broker, query.at, late);
+    (ran && !held_up).then_some(up)
+}
+
 fn ended<'a>(
     index: &Index<'a>,
     id: &'a str,
@@ -43,19 +64,8 @@
         let words = format!("{id} got {} final answers", finals.len());
         found.push(violation(Rule::Once, finals[1], Some(id), words));
     }
-    // What came as a broker stood still it cannot tell from what came as it awoke; and what came due meanwhile it answers
-    // at once then.
-    let read = index
-        .awake(broker, query.at + index.slack)
-        .map(|at| if at > query.at + index.slack { at } else { query.at });
-    let up = read.and_then(|read| index.awake(broker, read + query.asked.patience));
-    let Some(up) = up else { return found };
+    let Some(up) = time_up(index, query) else { return found };
     let late = up + index.slack;
-    let link = Link::clients(broker);
-    let held_up = index.faulty(link, query.at, late) || index.severed(link, query.asked.connected, late);
-    if held_up || index.started(broker, query.at).is_none() || index.cut_short(broker, query.at, late) {
-        return found;
-    }
     // The broker must have read a query of which parts have gone out.
     let sent = |before: Micros| query.attempts.iter().any(|n| index.attempts[*n].at <= before);
     if let Some(at) = query.crossed.iter().find(|at| sent(**at)).or(query.crossed.get(1)) {
--- a/crates/trial/src/rules/mod.rs
+++ b/crates/trial/src/rules/mod.rs
@@ -163,6 +163,11 @@
     found
 }
 
+/// How many queries had to be answered, of how many that were asked: the others met a fault that excuses them.
+pub fn judged(record: &Record, rules: &Rules) -> (usize, usize) {
+    answers::judged(&Index::new(record, rules))
+}
+
 /// Judges a trial; where the machine kept the rig waiting for longer than the bound, by the rules alone that have nothing
 /// to do with its speed.
 pub fn judge(record: &Record, rules: &Rules, bound: Micros) -> Verdict {
