--- a/crates/ploverport/tests/trial/fleet.rs
+++ b/crates/ploverport/tests/trial/fleet.rs
@@ -48,8 +48,11 @@
 }
 
 fn attempts(report: &Report, server: usize, from: Micros, to: Micros) -> usize {
-    let here = |s: &Seen| matches!(s, Seen::Attempt(a) if a.server == server);
-    report.record.events().iter().filter(|e| (from..to).contains(&e.at) && here(&e.seen)).count()
+    seen(report, from, to, |s| matches!(s, Seen::Attempt(a) if a.server == server))
+}
+
+fn seen(report: &Report, from: Micros, to: Micros, is: impl Fn(&Seen) -> bool) -> usize {
+    report.record.events().iter().filter(|e| (from..to).contains(&e.at) && is(&e.seen)).count()
 }
 
 /// Seven in ten of ten at once, and all of them; they start again 300 ms later, with what they left or without.
@@ -84,6 +87,8 @@
     let mut steps = killed(7);
     steps.push(step(500, What::Discovery(Sight::Silent(3 * SECOND))));
     let report = played(&ten(), &Script::new(steps));
+    let heard = seen(&report, 600 * MILLI, 3400 * MILLI, |s| matches!(s, Seen::Heard { .. }));
+    assert_eq!(heard, 0, "discovery said something: {report}");
     assert!(served(&report, 4 * SECOND) > 20, "{report}");
 }
 
@@ -96,6 +101,8 @@
     let report = played(&ten(), &Script::new(steps));
     assert!(served(&report, 4 * SECOND) > 20, "{report}");
     assert!(attempts(&report, 0, 0, 200 * MILLI) > 0, "it served before");
+    let revived = |s: &Seen| matches!(s, Seen::Told { server: 0, active: true, .. });
+    assert!(seen(&report, 900 * MILLI, 3400 * MILLI, revived) >= 7, "the old list was told: {report}");
 }
 
 /// Each broker's link to one data server, one fault after another, while requests are under way.
@@ -178,8 +185,14 @@
 
 #[test]
 fn a_rolling_restart_loses_nothing() {
-    let setup =
-        Setup { brokers: 6, work: Duration::from_millis(30), long: 8 * SECOND, rate: 100.0, ..setup() };
+    let setup = Setup {
+        brokers: 6,
+        work: Duration::from_millis(30),
+        long: 8 * SECOND,
+        rate: 100.0,
+        peers: true,
+        ..setup()
+    };
     let steps = (0..6).map(|b| broker(500 + 900 * b as Micros, b, Act::Restart(State::Keep)));
     let report = played(&setup, &Script::new(steps.collect()));
     assert_eq!((lives(&report, Life::Ended), lives(&report, Life::Crashed)), (6, 0), "{report}");
--- a/crates/trial/src/broker.rs
+++ b/crates/trial/src/broker.rs
@@ -76,3 +76,30 @@
     let asked = async { plover_load::Http1::connect(address).await?.send(&request).await };
     asked.await.is_ok_and(|response| response.status() == 200)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_state_is_kept_emptied_or_swapped() {
+        let root = std::env::temp_dir().join(format!("plover-state-{}", std::process::id()));
+        let dirs = [root.join("b0"), root.join("b1")];
+        for (n, dir) in dirs.iter().enumerate() {
+            std::fs::create_dir_all(dir).unwrap();
+            std::fs::write(dir.join("of"), n.to_string()).unwrap();
+        }
+        let of = |n: usize| std::fs::read_to_string(dirs[n].join("of")).ok();
+        let prepare = |state| prepare(state, &dirs[0], |other| dirs.get(other).cloned()).unwrap();
+        prepare(State::Keep);
+        prepare(State::From(0));
+        prepare(State::From(2));
+        assert_eq!((of(0).as_deref(), of(1).as_deref()), (Some("0"), Some("1")));
+        prepare(State::From(1));
+        assert_eq!((of(0).as_deref(), of(1).as_deref()), (Some("1"), Some("0")));
+        prepare(State::Empty);
+        assert_eq!((of(0), of(1).as_deref()), (None, Some("0")));
+        assert!(dirs[0].is_dir());
+        std::fs::remove_dir_all(root).unwrap();
+    }
+}
