--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -13,12 +13,14 @@
 pub mod script;
 mod server;
 pub mod timed;
+mod view;
 
 pub use deployment::Deployment;
 pub use fleet::{Fleet, Plan, ServerHandle};
 pub use list::{Entry, List};
 pub use program::{Inherit, Program};
 pub use server::Fault;
+pub use view::{Called, Sight, View, Wrote};
 
 /// The value that data servers give for a part: whoever holds the shard, the same.
 pub fn value(shard: usize, text: &str) -> String {
