Count a tenant's queries over a time that is there without a cold rule too

Seen by the table test of settings: with Cold 0 a tenant's span was 0, so that every query counted as over its share. At fault: over_share() took the time after which a server is warm. The change: that, or the longest wait of a class where it is longer.

--- a/crates/brookbend/src/choice.rs
+++ b/crates/brookbend/src/choice.rs
@@ -808,7 +808,7 @@
 
     fn over_share(&mut self, tenant: usize) -> bool {
         let Some(times) = self.tenant_taken.get_mut(tenant) else { return false };
-        let span = self.set.cold.warm_after;
+        let span = self.set.cold.warm_after.max(self.set.longest_wait());
         trim(times, self.now - span);
         let even = self.set.tenants[tenant].quota_per_s / self.set.aggregators.max(1) as f64;
         times.len() as f64 > QUOTA_SLACK * even * span / SECOND
