Take a shortened try for a repeat only where it began with a query that went unserved

Servers are idle and answer in 0.2 s, but from 15 s on 30 to 50 % of the queries are refused on arrival, first tries too. The tap: clients turn impatient then (1.0 and 1.7 s left instead of 3.9 and 7.2), and what is refused is just those. Ruled out: load, full queues, forecasts (p50 0.3 s). At fault: first_asked() in choice.rs, where clients do not mark repeats, took every try with less time than the usual for a repeat whose aim had passed; a refused client comes back with less still. The change: a repeat ends with its first try's limit, so that the time at which that would have begun is known; it is believed only if a query that came then (two ticks either way) went unserved here. At the newest 1,024 such times by class. Tests: an impatient client beside one that went unserved is served; a repeat of that one is refused.

--- a/crates/brookbend/src/choice.rs
+++ b/crates/brookbend/src/choice.rs
@@ -5,9 +5,7 @@
 
 use crate::api::*;
 use crate::demand::{Demand, turns_within};
-use crate::state::{
-    Desk, Dice, Fleet, Flight, Held, Learned, Patience, Piece, Server, Try, Width, never_ran, trim,
-};
+use crate::state::{Desk, Dice, Fleet, Flight, Held, Learned, Piece, Server, Try, Width, never_ran, trim};
 use std::collections::VecDeque;
 
 /// Share of calls ending full or timed out that the width loop steers to: the design's figure.
@@ -104,6 +102,8 @@
 const PATIENCE_SAME: f64 = 0.99;
 const PATIENCE_SHARE: f64 = 0.15;
 const PATIENCE_VOTES: f64 = 8.0;
+/// A repeat's first try came within so many ticks of when it seems to have.
+const REPEAT_TICKS: f64 = 2.0;
 /// How much of the way from the parts' mean forecast to the slowest's counts for admission.
 const SLOWEST: f64 = 0.5;
 /// A tenant is over its share at this multiple of its even part of the quota: streams here are uneven.
@@ -184,7 +184,12 @@
                 Event::Ended { part, attempt, outcome, elapsed, load } => {
                     self.ended(part, attempt, outcome, elapsed, load)
                 }
-                Event::Gone(id) => self.desk.queries.remove(&id).iter().for_each(|q| self.forget(q)),
+                Event::Gone(id) => {
+                    if let Some(q) = self.desk.queries.remove(&id) {
+                        self.learned[q.class].patience.note_unserved(q.asked);
+                        self.forget(&q);
+                    }
+                }
                 Event::Woken => self.wake_at = f64::INFINITY,
             }
         }
@@ -275,19 +280,21 @@
 
     /// When the client first asked. Its tries share one limit, so a try with less time than the class's usual
     /// is a repeat that ends with it. Else a retry storm fills the fleet with answers past their aim.
-    /// Unmarked, it is believed only where a usual patience shows; hurts where patience differs by client.
+    /// Unmarked, it is believed only where a usual patience shows, and where it would have begun with a query
+    /// that went unserved: clients may turn impatient all at once, and their first tries are no repeats.
     fn first_asked(&mut self, class: usize, q: &Query) -> Ms {
         let left = q.patience_ends - self.now;
         let p = &mut self.learned[class].patience;
         let same = (left - p.usual).abs() <= (1.0 - PATIENCE_SAME) * p.usual;
         p.votes = (p.votes + if same { 1.0 } else { -PATIENCE_SHARE }).min(PATIENCE_VOTES * 2.0);
         if p.votes < 0.0 {
-            *p = Patience { usual: left, votes: 1.0 };
+            (p.usual, p.votes) = (left, 1.0);
         }
-        let usual = q.again || (!self.set.marks_again && p.votes >= PATIENCE_VOTES);
         let shortened = left < p.usual * PATIENCE_SAME;
-        if usual && shortened {
-            (q.patience_ends - self.set.classes[class].give_up).min(self.now)
+        let since = (q.patience_ends - self.set.classes[class].give_up).min(self.now);
+        let usual = shortened && !self.set.marks_again && p.votes >= PATIENCE_VOTES;
+        if shortened && q.again || usual && p.take_unserved(since, REPEAT_TICKS * self.set.tick) {
+            since
         } else {
             self.now
         }
@@ -530,9 +537,7 @@
         let piece = &q.pieces[i];
         let newest = &piece.tries[piece.tries.len() - 1];
         let there = &self.fleet.servers[newest.server];
-        // What was sent later is answered: this attempt was lost alone, and another may go there.
-        let alone = there.last_served_sent > newest.sent;
-        let same = out && newest.server == s && !alone;
+        let same = out && newest.server == s;
         // Nothing was heard from there since, and the query's other parts took far less: not slow but lost.
         let took = q.pieces.iter().filter(|p| p.served).flat_map(|p| &p.tries).map(|t| t.took);
         let lost = there.heard < newest.sent && age > OVERDUE * took.fold(0.0, f64::max);
@@ -715,6 +720,7 @@
     /// Ends a query unserved, at once and with advice: a refusal where a repeat is harmless, else a failure.
     /// A keyed part that may have run is harmless to repeat until its window ends; clients come rather late.
     fn end_unserved(&mut self, id: &RequestId, q: &mut Held) -> bool {
+        self.learned[q.class].patience.note_unserved(q.asked);
         let class = &self.set.classes[q.class];
         let left = q.asked + class.aim - self.now;
         let useful = if left > 0.0 && !self.spoiled(q) { RETURN_AIM * left } else { f64::INFINITY };
--- a/crates/brookbend/src/state.rs
+++ b/crates/brookbend/src/state.rs
@@ -152,6 +152,27 @@
 pub(crate) struct Patience {
     pub(crate) usual: Ms,
     pub(crate) votes: f64,
+    /// When the clients first asked whose queries went unserved, and who have not come back yet.
+    pub(crate) unserved: VecDeque<Ms>,
+}
+
+/// Most first tries that went unserved that are remembered: of the newest.
+const UNSERVED: usize = 1024;
+
+impl Patience {
+    /// Notes that a client who first asked then may come back.
+    pub(crate) fn note_unserved(&mut self, asked: Ms) {
+        if self.unserved.len() == UNSERVED {
+            self.unserved.pop_front();
+        }
+        self.unserved.push_back(asked);
+    }
+
+    /// Takes out one that was noted for about this time. False: none was.
+    pub(crate) fn take_unserved(&mut self, asked: Ms, within: Ms) -> bool {
+        let found = self.unserved.iter().position(|noted| (noted - asked).abs() <= within);
+        found.is_some_and(|at| self.unserved.remove(at).is_some())
+    }
 }
 
 /// What is learned of one class.
--- a/crates/brookbend/tests/module.rs
+++ b/crates/brookbend/tests/module.rs
@@ -413,18 +413,47 @@
     }
 }
 
+/// A query whose attempts all fail at once; says when it came.
+fn unserved(s: &mut Stand, name: &str) -> Ms {
+    let events = s.query(name, 0, &[0], 3500.0);
+    let mut actions = s.step(5.0, events);
+    let came = s.now;
+    let mut attempt = 0;
+    while let Some((part, ..)) = sends(&actions).pop() {
+        actions = s.step(0.0, vec![ended(&part, attempt, Outcome::Error, 1.0)]);
+        attempt += 1;
+    }
+    assert_eq!(finals(&actions), vec![refused(name)]);
+    came
+}
+
 #[test]
 fn a_repeat_past_its_aim_is_told_by_its_shortened_time() {
     // The client's whole patience is 4000: with 2000 left of a usual 3500 it first asked 2000 ago.
     let class = Class { late_worth: 0.0, ..class() };
     let mut s = Stand::new(Settings { classes: vec![class], ..ring() }, 1);
     usual(&mut s, 20, 3500.0);
+    let came = unserved(&mut s, "lost");
+    s.step(came + 1995.0 - s.now, vec![]);
     let events = s.query("again", 0, &[0], 2000.0);
     assert_eq!(finals(&s.step(5.0, events)), vec![refused("again")]);
     let events = s.query("first", 0, &[0], 3500.0);
     assert_eq!(sends(&s.step(5.0, events)).len(), 1);
 }
 
+/// Where none went unserved at the time at which they would have begun, they are no repeats: refused as such, impatient
+/// clients would never be served again.
+#[test]
+fn clients_that_turn_impatient_are_not_taken_for_repeats() {
+    let class = Class { late_worth: 0.0, ..class() };
+    let mut s = Stand::new(Settings { classes: vec![class], ..ring() }, 1);
+    usual(&mut s, 20, 3500.0);
+    let came = unserved(&mut s, "lost");
+    s.step(came + 1900.0 - s.now, vec![]);
+    let events = s.query("impatient", 0, &[0], 2000.0);
+    assert_eq!(sends(&s.step(5.0, events)).len(), 1);
+}
+
 #[test]
 fn one_patient_client_does_not_make_all_others_repeats() {
     let class = Class { late_worth: 0.0, ..class() };
