Tell HTTP/2 clients at once to go, and serve those that stay

Cause: two tests of the drain over HTTP/2 waited for GOAWAY, which came only after the stay. The change: GOAWAY ends nothing, so it goes out at once; streams that come while the broker stays are served, and refused once the doors are closed.

--- a/crates/broker/src/front/http2/mod.rs
+++ b/crates/broker/src/front/http2/mod.rs
@@ -287,8 +287,9 @@
     /// client would have connected for nothing.
     fn is_to_leave(&self) -> bool {
         match self.front.shared.stage() {
-            Stage::Serving | Stage::Staying => false,
-            Stage::Leaving | Stage::Empty => self.asked,
+            Stage::Serving => false,
+            // The notice ends nothing: a client that has nowhere else to go goes on here, and is served.
+            Stage::Staying | Stage::Leaving | Stage::Empty => self.asked,
             Stage::Closing => self.asked || self.front.clock.now() >= self.just_come_until,
         }
     }
