Plans for moving ranges: the language, its steps, their order, and the state of a run

Operators need to say how ranges shall lie, and what must hold on the way, rather than list moves. The package reshard reads a plan in the form of the operator's file, refuses what cannot be kept at every moment, and compiles the rest to a graph of small steps with a way back each. Progress follows from a log of entries alone.

--- a/crates/operator-file/src/grammar.rs
+++ b/crates/operator-file/src/grammar.rs
@@ -12,21 +12,25 @@
 
 /// A word and its place in the text, in bytes.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct Word {
-    pub(crate) text: String,
-    pub(crate) span: Range<usize>,
+pub struct Word {
+    /// Its letters.
+    pub text: String,
+    /// Its bytes in the text.
+    pub span: Range<usize>,
 }
 
 /// A line that says something.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct Line {
-    pub(crate) keyword: Word,
-    pub(crate) arguments: Vec<Word>,
+pub struct Line {
+    /// The first word.
+    pub keyword: Word,
+    /// The words after it.
+    pub arguments: Vec<Word>,
 }
 
 /// The lines of a text that hold more than blanks and comments. Any text is lines of words: a byte that belongs in
 /// none is part of a word, and is found fault with when that is read.
-pub(crate) fn lines(text: &str) -> Vec<Line> {
+pub fn lines(text: &str) -> Vec<Line> {
     let mut input = LocatingSlice::new(text);
     let mut lines = Vec::new();
     while !input.is_empty() {
--- a/crates/operator-file/src/keywords.rs
+++ b/crates/operator-file/src/keywords.rs
@@ -234,12 +234,17 @@
 
 /// The keyword that a wrong one was probably meant to be.
 pub(crate) fn nearest(name: &str) -> Option<&'static str> {
+    let names = KEYWORDS.iter().chain(SECTION_KEYWORDS).map(|k| k.name);
+    nearest_of(name, names.chain(SECTIONS.iter().map(|s| s.0)))
+}
+
+/// The one of these names that a wrong one was probably meant to be.
+pub fn nearest_of<'a>(name: &str, names: impl Iterator<Item = &'a str>) -> Option<&'a str> {
     // Longer words are nobody's slip of the pen, and comparing costs the product of the lengths.
     if name.len() > 64 {
         return None;
     }
     let distance = |k: &&str| strsim::damerau_levenshtein(k, name);
-    let names = KEYWORDS.iter().chain(SECTION_KEYWORDS).map(|k| k.name);
-    let nearest = names.chain(SECTIONS.iter().map(|s| s.0)).min_by_key(distance)?;
+    let nearest = names.min_by_key(distance)?;
     (distance(&nearest) <= nearest.len() / 3).then_some(nearest)
 }
--- a/crates/operator-file/src/lib.rs
+++ b/crates/operator-file/src/lib.rs
@@ -14,14 +14,14 @@
 //! ```
 
 mod fault;
-mod grammar;
+pub mod grammar;
 mod keywords;
 mod sections;
 mod settings;
-mod values;
+pub mod values;
 
 pub use fault::{Fault, Faults};
-pub use keywords::{Effect, KEYWORDS, Keyword, SECTION_KEYWORDS, SECTIONS};
+pub use keywords::{Effect, KEYWORDS, Keyword, SECTION_KEYWORDS, SECTIONS, nearest_of};
 pub use settings::{Changes, ComeBack, Control, Http2, Log, LogFormat, LogLevel, Settings, read};
 
 /// Longest file that is read, in bytes.
--- a/crates/operator-file/src/values.rs
+++ b/crates/operator-file/src/values.rs
@@ -8,7 +8,8 @@
     word.parse().map_err(|_| "expected an address with a port, as 127.0.0.1:8081 or [::1]:8081".to_owned())
 }
 
-pub(crate) fn whole(word: &str, within: &RangeInclusive<u64>) -> Result<u64, String> {
+/// A whole number within these bounds, digits alone.
+pub fn whole(word: &str, within: &RangeInclusive<u64>) -> Result<u64, String> {
     let number = word.bytes().all(|b| b.is_ascii_digit()).then(|| word.parse().ok()).flatten();
     number
         .filter(|n| within.contains(n))
@@ -16,7 +17,7 @@
 }
 
 /// A name that may stand in a log and in a resource's name.
-pub(crate) fn name(word: &str) -> Result<String, String> {
+pub fn name(word: &str) -> Result<String, String> {
     let fits = |b: u8| b.is_ascii_alphanumeric() || b == b'.' || b == b'-';
     let good = (1..=64).contains(&word.len()) && word.bytes().all(fits);
     good.then(|| word.to_owned()).ok_or_else(|| "expected 1 to 64 letters, digits, dots or dashes".to_owned())
@@ -42,7 +43,7 @@
 }
 
 /// A span of time with its unit.
-pub(crate) fn span(word: &str, within: &RangeInclusive<Micros>) -> Result<Micros, String> {
+pub fn span(word: &str, within: &RangeInclusive<Micros>) -> Result<Micros, String> {
     let units = [("us", 1), ("ms", MILLI), ("s", SECOND), ("min", 60 * SECOND)];
     with_unit(word, &units, within).ok_or_else(|| {
         let show = |n: &u64| {
@@ -60,14 +61,16 @@
     })
 }
 
-fn with_unit(word: &str, units: &[(&str, u64)], within: &RangeInclusive<u64>) -> Option<u64> {
+/// A whole number with one of these units, times the unit; `None` where it is none or out of bounds.
+pub fn with_unit(word: &str, units: &[(&str, u64)], within: &RangeInclusive<u64>) -> Option<u64> {
     let digits = word.bytes().take_while(u8::is_ascii_digit).count();
     let (number, unit) = word.split_at(digits);
     let (_, each) = units.iter().find(|(name, _)| *name == unit)?;
     number.parse::<u64>().ok()?.checked_mul(*each).filter(|n| within.contains(n))
 }
 
-pub(crate) fn choice<T: Copy>(word: &str, choices: &[(&str, T)]) -> Result<T, String> {
+/// One of these words.
+pub fn choice<T: Copy>(word: &str, choices: &[(&str, T)]) -> Result<T, String> {
     choices.iter().find(|(name, _)| *name == word).map(|(_, value)| *value).ok_or_else(|| {
         let names: Vec<&str> = choices.iter().map(|(name, _)| *name).collect();
         format!("expected one of {}", names.join(", "))
--- /dev/null
+++ b/crates/reshard/tests/running.rs
@@ -0,0 +1,282 @@
+//! Plans that run: whatever ends first and whatever fails, every bound holds, and a plan comes to its goals or stands
+//! with a cause.
+
+mod support;
+
+use plover_ranges::*;
+use plover_reshard::plan::*;
+use proptest::prelude::*;
+use std::collections::{BTreeMap, BTreeSet};
+use support::*;
+
+const NIGHT: u64 = 23 * 3600 * 1_000_000;
+
+fn calm() -> Seen {
+    Seen { time_of_day: NIGHT, goodput: Some(990), p99: Some(90_000), standing: BTreeMap::new() }
+}
+
+/// How a run ended, with its log.
+struct Run {
+    log: Vec<Entry>,
+    stands: Stands,
+    world: World,
+    progress: Progress,
+}
+
+/// Plays a plan from a state on, with steps that end in any order and fail by chance.
+fn play(
+    mut progress: Progress,
+    mut world: World,
+    mut log: Vec<Entry>,
+    seed: u64,
+    ends_well: bool,
+) -> Result<Run, String> {
+    let mut chance = Chance(seed);
+    let mut now = 1_000_000;
+    let mut resumed = 0;
+    let tell = |progress: &mut Progress,
+                world: &mut World,
+                log: &mut Vec<Entry>,
+                entry: Entry|
+     -> Result<(), String> {
+        progress.apply(&entry).map_err(|refused| format!("{entry:?}: {refused}"))?;
+        world.apply(&entry).map_err(|broken| format!("{entry:?}: {broken}"))?;
+        log.push(entry);
+        Ok(())
+    };
+    for _ in 0..4000 {
+        now += 1_000_000;
+        let mut seen = calm();
+        let warm = chance.one_in(2) || ends_well;
+        let cold: Vec<NodeName> = world
+            .graph
+            .nodes
+            .iter()
+            .filter(|(_, n)| n.standing == Standing::Cold)
+            .map(|(n, _)| n.clone())
+            .collect();
+        if warm {
+            seen.standing = cold.iter().map(|n| (n.clone(), Standing::Warm)).collect();
+        }
+        let loud = !ends_well && chance.one_in(6);
+        if loud {
+            match chance.below(3) {
+                0 => seen.time_of_day = 12 * 3600 * 1_000_000,
+                1 => seen.goodput = Some(10),
+                _ => seen.p99 = Some(10_000_000),
+            }
+        }
+        let next = progress.next(now, &seen);
+        if next != progress.next(now, &seen) {
+            return Err("asking changed it".into());
+        }
+        let bounded = world.graph.bounds.p99.is_some();
+        let forward = |s: &Start| matches!(s.way, Way::Forward(_));
+        if loud
+            && bounded
+            && (next.start.iter().any(forward)
+                || !world.running.keys().all(|id| next.still.contains(id) || !is_copy(&world, *id)))
+        {
+            return Err("it works where it must stand still".into());
+        }
+        for start in &next.start {
+            if let (Way::Forward(Some((from, _))), false) = (&start.way, warm)
+                && (cold.contains(from)
+                    || matches!(&world.graph.steps[start.step.0 as usize].step, Step::Copy { to, .. } if cold.contains(to)))
+            {
+                return Err("a copy from or to a cold node".into());
+            }
+            tell(&mut progress, &mut world, &mut log, start.entry())?;
+        }
+        let running: Vec<StepId> = world.running.keys().chain(world.back.keys()).copied().collect();
+        if running.is_empty() {
+            match next.stands {
+                Stands::Ended(_) | Stands::GivenUp(_) => {
+                    return Ok(Run { log, stands: next.stands, world, progress });
+                }
+                Stands::Waits(until) => now = now.max(until),
+                Stands::Paused(Pause::StepFailed(..)) if resumed < 4 => {
+                    resumed += 1;
+                    let entry = if chance.one_in(3) { Entry::Aborted } else { Entry::Resumed };
+                    tell(&mut progress, &mut world, &mut log, entry)?;
+                }
+                Stands::Paused(Pause::Operator | Pause::Held) => {
+                    tell(&mut progress, &mut world, &mut log, Entry::Resumed)?
+                }
+                Stands::Paused(_) if loud || !warm => {}
+                Stands::Paused(_) => return Ok(Run { log, stands: next.stands, world, progress }),
+                Stands::Works if next.start.is_empty() => return Err("it stands without a cause".into()),
+                Stands::Works => {}
+            }
+            continue;
+        }
+        let step = running[chance.below(running.len() as u64) as usize];
+        let entry = match (world.running.get(&step), world.back.get(&step)) {
+            (Some((token, _)), _) if !ends_well && chance.one_in(7) => {
+                let cause = [Cause::Source, Cause::Target, Cause::Late][chance.below(3) as usize];
+                Entry::Failed { step, token: *token, at: now, cause }
+            }
+            (Some((token, _)), _) => Entry::Ended { step, token: *token },
+            (None, Some(token)) if !ends_well && chance.one_in(9) => {
+                Entry::Failed { step, token: *token, at: now, cause: Cause::Late }
+            }
+            (None, Some(token)) => Entry::Undone { step, token: *token },
+            (None, None) => continue,
+        };
+        tell(&mut progress, &mut world, &mut log, entry)?;
+        if !ends_well && chance.one_in(25) && resumed < 8 {
+            resumed += 1;
+            let entry = [Entry::Paused, Entry::Held, Entry::Aborted, Entry::Resumed]
+                [chance.below(4) as usize]
+                .clone();
+            let aborted = log.contains(&Entry::Aborted);
+            if !aborted || entry == Entry::Resumed {
+                tell(&mut progress, &mut world, &mut log, entry)?;
+            }
+        }
+    }
+    Err("it does not come to an end".into())
+}
+
+fn is_copy(world: &World, id: StepId) -> bool {
+    matches!(world.graph.steps[id.0 as usize].step, Step::Copy { .. })
+}
+
+fn started(graph: &Graph) -> (Progress, World, Vec<Entry>) {
+    let log = vec![Entry::Opened { at: 0, graph: Box::new(graph.clone()) }];
+    (Progress::replay(&log).expect("sound"), World::new(graph), log)
+}
+
+/// Whether the goals of a plan hold in a map, as far as one sees them there.
+fn reached(text: &str, first: &RangeMap, fleet: &Fleet, map: &RangeMap) -> Result<(), String> {
+    let plan = read(text).expect("accepted");
+    let of = |id: &RangeId| -> Vec<&Held> { map.within(&first.named(*id).expect("known").range).collect() };
+    let all: Vec<&Held> = map.ranges().collect();
+    let zones =
+        |h: &Held| h.replicas.iter().map(|n| fleet.nodes[n].zone.clone()).collect::<BTreeSet<_>>().len();
+    for goal in &plan.goals {
+        let holds = match &goal.what {
+            What::Split(_, keys) => keys.iter().all(|k| map.at(k).is_some_and(|h| h.range.from() == k)),
+            What::Merge(low, high) => of(low) == of(high),
+            What::Move(id, from, to) => {
+                of(id).iter().all(|h| h.replicas.contains(to) && !h.replicas.contains(from))
+            }
+            What::EmptyNode(node) => all.iter().all(|h| !h.replicas.contains(node)),
+            What::EmptyZone(zone) => {
+                all.iter().all(|h| h.replicas.iter().all(|n| fleet.nodes[n].zone != *zone))
+            }
+            What::BringIn(node) => all.iter().any(|h| h.replicas.contains(node)),
+            What::Replicas(count, spread, None) => {
+                all.iter().all(|h| h.replicas.len() == *count as usize && zones(h) >= *spread as usize)
+            }
+            What::Apart(a, b) => {
+                of(a).iter().all(|x| of(b).iter().all(|y| x.replicas.is_disjoint(&y.replicas)))
+            }
+            What::Together(a, b) => of(a).iter().all(|x| of(b).iter().all(|y| x.replicas == y.replicas)),
+            What::KeepOff(kind, of_one) => {
+                let ranges = of_one.as_ref().map_or(all.clone(), &of);
+                ranges.iter().all(|h| h.replicas.iter().all(|n| fleet.nodes[n].kind != *kind))
+            }
+            _ => true,
+        };
+        if !holds {
+            return Err(format!("{} does not hold:\n{text}{map:?}", goal.said));
+        }
+    }
+    Ok(())
+}
+
+fn whole_run(seed: u64, ends_well: bool) -> Result<Option<Run>, String> {
+    let (text, map, fleet) = case(seed);
+    let Ok(graph) = compiled(&text, &map, &fleet) else { return Ok(None) };
+    let (progress, world, log) = started(&graph);
+    let run = play(progress, world, log, seed ^ 0x5eed, ends_well)
+        .map_err(|e| format!("{e}\nseed {seed}\n{text}"))?;
+    let left = match &run.stands {
+        Stands::Ended(left) | Stands::GivenUp(left) => left.clone(),
+        _ => return Ok(Some(run)),
+    };
+    if run.world.map != *run.progress.map() {
+        return Err(format!("two maps: seed {seed}"));
+    }
+    let drops = left.iter().filter(|id| matches!(graph.steps[id.0 as usize].step, Step::Drop { .. })).count();
+    let garbage = run.world.garbage();
+    if garbage > drops || (left.is_empty() && garbage > 0) {
+        return Err(format!("{garbage} copies are left: seed {seed}\n{text}"));
+    }
+    if left.is_empty() {
+        reached(&text, &map, &fleet, run.progress.map()).map_err(|e| format!("{e}: seed {seed}"))?;
+    }
+    for (n, group) in graph.groups.iter().enumerate().filter(|(_, g)| g.whole) {
+        let own = graph.steps.iter().enumerate().filter(|(_, s)| usize::from(s.group) == n);
+        let gone = own.clone().filter(|(n, _)| left.contains(&StepId(*n as u32))).count();
+        if gone != 0 && gone != own.count() {
+            return Err(format!("half of the whole group {}: seed {seed}\n{text}", group.name));
+        }
+    }
+    Ok(Some(run))
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, ..ProptestConfig::default() })]
+
+    #[test]
+    fn every_bound_holds_whatever_ends_and_fails(seed in any::<u64>()) {
+        whole_run(seed, false).map_err(TestCaseError::fail)?;
+    }
+
+    #[test]
+    fn an_accepted_plan_reaches_its_goals_where_nothing_fails(seed in any::<u64>()) {
+        if let Some(run) = whole_run(seed, true).map_err(TestCaseError::fail)? {
+            prop_assert_eq!(run.stands, Stands::Ended(vec![]), "{}", case(seed).0);
+        }
+    }
+
+    #[test]
+    fn the_graph_is_the_same_whatever_the_order_of_nodes(seed in any::<u64>()) {
+        let (text, map, fleet) = case(seed);
+        let mut turned = Fleet::default();
+        turned.nodes.extend(fleet.nodes.clone().into_iter().rev());
+        turned.loads.extend(fleet.loads.clone().into_iter().rev());
+        turned.links.extend(fleet.links.clone().into_iter().rev());
+        let (one, other) = (compiled(&text, &map, &fleet), compiled(&text, &map, &turned));
+        prop_assert_eq!(one.as_ref().map(Graph::bytes), other.as_ref().map(Graph::bytes));
+    }
+
+    #[test]
+    fn every_prefix_of_a_log_gives_the_state_that_was(seed in any::<u64>()) {
+        let Some(run) = whole_run(seed, false).map_err(TestCaseError::fail)? else { return Ok(()) };
+        let mut known = Progress::open(&run.log[0]).expect("sound");
+        for n in 1..run.log.len() {
+            known.apply(&run.log[n]).expect("was applied");
+            prop_assert!(Progress::replay(&run.log[..=n]).expect("was applied") == known);
+        }
+        prop_assert!(known == run.progress);
+    }
+}
+
+#[test]
+fn the_seeds_reach_all_that_is_claimed() {
+    let mut seen = BTreeMap::<&str, usize>::new();
+    for seed in 0..600 {
+        let Some(run) = whole_run(seed, false).unwrap() else { continue };
+        *seen.entry("accepted").or_default() += 1;
+        let stands = match &run.stands {
+            Stands::Ended(left) if left.is_empty() => "ended",
+            Stands::Ended(_) => "left out",
+            Stands::GivenUp(_) => "given up",
+            _ => "paused",
+        };
+        *seen.entry(stands).or_default() += 1;
+        let has = |f: fn(&Entry) -> bool| usize::from(run.log.iter().any(f));
+        *seen.entry("failed").or_default() += has(|e| matches!(e, Entry::Failed { .. }));
+        *seen.entry("undone").or_default() += has(|e| matches!(e, Entry::Undone { .. }));
+        *seen.entry("steps").or_default() += run.progress.graph().steps.len();
+    }
+    println!("{seen:?}");
+    for (what, least) in
+        [("accepted", 100), ("ended", 40), ("left out", 10), ("given up", 10), ("failed", 50), ("undone", 15)]
+    {
+        assert!(seen.get(what).is_some_and(|n| *n >= least), "{what}: {seen:?}");
+    }
+}
