--- a/crates/reshard/src/plan/file.rs
+++ b/crates/reshard/src/plan/file.rs
@@ -307,7 +307,7 @@
             ),
         ] {
             if missing && !self.refusals.iter().any(|r| r.what.ends_with(&format!("for {name}"))) {
-                self.refuse(&end, "needed", format!("the plan has no line {name}"), takes);
+                self.refuse(&end, name, format!("the plan has no line {name}"), takes);
             }
         }
         match (self.plan, self.against) {
--- a/crates/reshard/src/plan/goals.rs
+++ b/crates/reshard/src/plan/goals.rs
@@ -216,14 +216,21 @@
     }
 }
 
-/// The refusals as faults with line and column, in the order of the text.
+/// The refusals as faults with line and column, in the order of the text. Of those of one word and one rule, the first
+/// stands for all.
 pub fn faults(name: &str, text: &str, refusals: Vec<Refusal>) -> Faults {
     let mut refusals = refusals;
     refusals.sort_by(|a, b| (a.span.start, a.rule, &a.what).cmp(&(b.span.start, b.rule, &b.what)));
-    refusals.dedup();
-    Faults::found(
-        name,
-        text,
-        refusals.into_iter().map(|r| (r.span, format!("{}: {}", r.rule, r.what), r.would_do)),
-    )
+    let mut kept: Vec<(Refusal, usize)> = Vec::new();
+    for refusal in refusals {
+        match kept.last_mut().filter(|(last, _)| (&last.span, last.rule) == (&refusal.span, refusal.rule)) {
+            Some((_, more)) => *more += 1,
+            None => kept.push((refusal, 0)),
+        }
+    }
+    let what = |r: &Refusal, more| match more {
+        0 => format!("{}: {}", r.rule, r.what),
+        n => format!("{}: {} (and {n} more)", r.rule, r.what),
+    };
+    Faults::found(name, text, kept.into_iter().map(|(r, more)| (r.span.clone(), what(&r, more), r.would_do)))
 }
--- a/crates/reshard/src/plan/next.rs
+++ b/crates/reshard/src/plan/next.rs
@@ -137,7 +137,9 @@
                 begin(&mut trial, &mut next, id, Way::Back(self.step(id).back()));
             }
         }
-        let pause = self.pause(seen);
+        let quiet = self.quiet(seen);
+        let failed = self.stopped.map(|step| Pause::StepFailed(step, self.slots[step.0 as usize].cause));
+        let pause = failed.or_else(|| quiet.clone());
         let mut blocked = None;
         if pause.is_none() {
             let groups = &self.graph.groups;
@@ -162,8 +164,7 @@
         let stands_still = |id: &StepId| {
             let copy = matches!(self.step(*id), Step::Copy { .. })
                 && self.slots[id.0 as usize].state == StepState::Running;
-            copy && (pause.as_ref().is_some_and(|p| !matches!(p, Pause::StepFailed(..)))
-                || self.cold_end(*id, seen).is_some())
+            copy && (quiet.is_some() || self.cold_end(*id, seen).is_some())
         };
         next.still = self.ids().filter(stands_still).collect();
         let until = self.slots.iter().filter_map(|slot| match slot.state {
@@ -190,14 +191,11 @@
         next
     }
 
-    /// Why nothing at all begins.
-    fn pause(&self, seen: &Seen) -> Option<Pause> {
+    /// Why nothing at all begins, and copies stand still.
+    fn quiet(&self, seen: &Seen) -> Option<Pause> {
         if self.said == Said::Pause {
             return Some(Pause::Operator);
         }
-        if let Some(step) = self.stopped {
-            return Some(Pause::StepFailed(step, self.slots[step.0 as usize].cause));
-        }
         let bounds = &self.graph.bounds;
         let time = seen.time_of_day % DAY;
         let open = |(from, to): &(Micros, Micros)| {
@@ -286,7 +284,7 @@
     let tried = &trial.slots[id.0 as usize].tried;
     let mut sources: Vec<NodeName> = held.replicas.iter().filter(|n| !tried.contains(*n)).cloned().collect();
     sources.sort_by_key(|n| (*n != planned, trial.graph.zone(n) != trial.graph.zone(&to), n.clone()));
-    let mut why = None;
+    let (mut why, mut waits) = (None, None);
     for from in sources {
         if let Some(pause) = trial.kept_off(&from, false, seen) {
             why = why.or(Some(pause));
@@ -298,11 +296,14 @@
                 begin(trial, next, id, Way::Forward(Some((from, rate))));
                 return Ok(());
             }
-            Err(short) => {
-                next.waits.push((id, short));
-                return Err(None);
-            }
+            Err(short) => waits = waits.or(Some(short)),
+        }
+    }
+    match waits {
+        Some(short) => {
+            next.waits.push((id, short));
+            Err(None)
         }
+        None => Err(why),
     }
-    Err(why)
 }
--- a/crates/reshard/src/plan/place.rs
+++ b/crates/reshard/src/plan/place.rs
@@ -2,7 +2,7 @@
 
 use super::goals::{Goal, Plan, Refusal, What};
 use super::shape::{Shape, bytes, named};
-use plover_ranges::{Fleet, Node, NodeName, RangeId, RangeMap, Standing};
+use plover_ranges::{Fleet, KeyRange, Node, NodeName, RangeId, RangeMap, Standing};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Pieces that the same nodes hold.
@@ -10,6 +10,8 @@
 pub struct Cluster {
     /// Its pieces, in the order of their keys.
     pub pieces: Vec<usize>,
+    /// The keys of the first of them: what it is called by.
+    pub first: KeyRange,
     /// Its holders at the end.
     pub target: BTreeSet<NodeName>,
     /// The goal by which it moves, if it does.
@@ -79,7 +81,9 @@
             placing.refusals.extend(done.err());
         }
     }
-    placing.at_the_end(shape);
+    if placing.refusals.is_empty() {
+        placing.at_the_end(shape);
+    }
     if placing.refusals.is_empty() { Ok(placing.clusters) } else { Err(placing.refusals) }
 }
 
@@ -185,6 +189,7 @@
             let target = largest.map(|p| p.holders.clone()).unwrap_or_default();
             let replicas = target.len().max(1);
             self.clusters.push(Cluster {
+                first: all().next().map_or_else(KeyRange::whole, |p| p.range.clone()),
                 cause: None,
                 takes: (all().map(|p| p.bytes).sum(), all().map(|p| p.memory).sum()),
                 asked: (
@@ -498,8 +503,11 @@
     }
 
     fn name(&self, at: usize) -> String {
-        let count = self.clusters[at].pieces.len();
-        format!("{} ({count} of its pieces)", bytes(self.clusters[at].takes.0))
+        let cluster = &self.clusters[at];
+        match cluster.pieces.len() {
+            1 => cluster.first.to_string(),
+            n => format!("{} and {} with it", cluster.first, n - 1),
+        }
     }
 
     /// Whether what moved keeps the rules and fits at the end.
--- a/crates/reshard/src/plan/shape.rs
+++ b/crates/reshard/src/plan/shape.rs
@@ -292,14 +292,22 @@
     if pieces.iter().all(|p| count(p) <= 1) {
         return Ok(());
     }
+    let most = super::goals::MOST_STEPS as u64;
+    if let Some(piece) = pieces.iter().find(|p| count(p) > most) {
+        let what = format!("{} would be {} pieces", held.id, count(piece));
+        let would_do = match goal.what {
+            What::SplitSize(_) => format!("split-size {}B", piece.bytes.div_ceil(most)),
+            _ => format!("split-rate {:.0}", (piece.rate / most as f64).ceil()),
+        };
+        return Err(Refusal::new(&goal.words[0], "split", what, would_do));
+    }
     let mut keys: BTreeMap<Key, usize> =
         cuts.remove(&held.id).unwrap_or_default().into_iter().map(|c| (c.at, c.goal)).collect();
     let mut cut = Vec::new();
     for piece in pieces.drain(..) {
         let parts = count(&piece).max(1);
-        for part in 1..parts.min(super::goals::MOST_STEPS as u64) {
-            let key = key_at(&piece.range, part, parts)
-                .filter(|key| keys.last_key_value().is_none_or(|_| !keys.contains_key(key)));
+        for part in 1..parts {
+            let key = key_at(&piece.range, part, parts).filter(|key| !keys.contains_key(key));
             let Some(key) = key else {
                 let what = format!("{} has too few keys for {parts} pieces", piece.range);
                 let fits = match goal.what {
--- a/crates/reshard/tests/running.rs
+++ b/crates/reshard/tests/running.rs
@@ -280,3 +280,178 @@
         assert!(seen.get(what).is_some_and(|n| *n >= least), "{what}: {seen:?}");
     }
 }
+
+/// A log with one entry changed, and what was changed.
+fn mutants(log: &[Entry]) -> Vec<(String, Vec<Entry>)> {
+    let mut all = Vec::new();
+    for n in 0..log.len() {
+        let mut with = |what: &str, change: &dyn Fn(&mut Vec<Entry>)| {
+            let mut log = log.to_vec();
+            change(&mut log);
+            all.push((format!("entry {n} {what}: {:?}", log.get(n)), log));
+        };
+        with("dropped", &|log| drop(log.remove(n)));
+        with("doubled", &|log| log.insert(n, log[n].clone()));
+        if n + 1 < log.len() {
+            with("swapped", &|log| log.swap(n, n + 1));
+        }
+        for field in 0..4 {
+            if wrong(&mut log[n].clone(), field) {
+                with("wrong", &|log| {
+                    wrong(&mut log[n], field);
+                });
+            }
+        }
+    }
+    all
+}
+
+/// Another value that is legal in itself; whether there is such a field.
+fn wrong(entry: &mut Entry, field: usize) -> bool {
+    match (entry, field) {
+        (
+            Entry::Begun { step, .. }
+            | Entry::Ended { step, .. }
+            | Entry::Failed { step, .. }
+            | Entry::BackBegun { step, .. }
+            | Entry::Undone { step, .. },
+            0,
+        ) => step.0 ^= 1,
+        (
+            Entry::Begun { token, .. }
+            | Entry::Ended { token, .. }
+            | Entry::Failed { token, .. }
+            | Entry::BackBegun { token, .. }
+            | Entry::Undone { token, .. },
+            1,
+        ) => token.0 += 1,
+        (Entry::Begun { copy: Some((_, rate)), .. }, 2) => *rate *= 4,
+        (Entry::Begun { copy: Some((from, _)), .. }, 3) => {
+            *from = if &*from.0 == "a" { "b".into() } else { "a".into() };
+        }
+        (Entry::Failed { cause, .. }, 2) => *cause = Cause::NoRoom,
+        (Entry::Failed { at, .. }, 3) => *at += 7_000_000,
+        (Entry::Opened { graph, .. }, 0) => graph.steps.reverse(),
+        (Entry::Opened { graph, .. }, 1) => graph.bounds.copies_node = 1,
+        _ => return false,
+    }
+    true
+}
+
+#[test]
+fn a_log_with_one_wrong_entry_is_refused_or_harmless() {
+    let (mut refused, mut harmless) = (0, 0);
+    for seed in 0..500 {
+        let Some(run) = whole_run(seed, seed % 3 == 0).unwrap() else { continue };
+        for (what, log) in mutants(&run.log) {
+            let Ok(progress) = Progress::replay(&log) else {
+                refused += 1;
+                continue;
+            };
+            harmless += 1;
+            // What the log says is carried out: it breaks no bound, and from there the plan comes to an end.
+            let Some(Entry::Opened { graph, .. }) = log.first() else {
+                panic!("a log that begins with no plan")
+            };
+            let mut world = World::new(graph);
+            for entry in &log {
+                world.apply(entry).unwrap_or_else(|broken| panic!("seed {seed}, {what}: {broken}"));
+            }
+            assert_eq!(world.map, *progress.map(), "seed {seed}, {what}");
+            if let Err(stuck) = play(progress, world, log, seed, true) {
+                panic!("seed {seed}, {what}: {stuck}");
+            }
+        }
+    }
+    println!("{refused} refused, {harmless} harmless");
+    assert!(refused > 1000 && harmless > 300, "{refused} refused, {harmless} harmless");
+}
+
+/// What a node with a step's token would see: a step begins twice under one token only if it is the same beginning.
+#[test]
+fn no_token_is_given_twice() {
+    for seed in 0..300 {
+        let Some(run) = whole_run(seed, false).unwrap() else { continue };
+        let mut last = Token(0);
+        for entry in &run.log {
+            if let Entry::Begun { token, .. } | Entry::BackBegun { token, .. } = entry {
+                assert!(*token > last, "seed {seed}");
+                last = *token;
+            }
+        }
+    }
+}
+
+fn run_until(graph: &Graph, stop: impl Fn(&Progress, &World) -> bool) -> (Progress, World, Vec<Entry>) {
+    let (mut progress, mut world, mut log) = started(graph);
+    for now in 1.. {
+        if stop(&progress, &world) || now > 200 {
+            break;
+        }
+        let next = progress.next(now, &calm());
+        let mut entries: Vec<Entry> = next.start.iter().map(Start::entry).collect();
+        if entries.is_empty() {
+            let Some((step, (token, _))) = world.running.iter().next() else { break };
+            entries.push(Entry::Ended { step: *step, token: *token });
+        }
+        for entry in entries {
+            progress.apply(&entry).unwrap();
+            world.apply(&entry).unwrap();
+            log.push(entry);
+        }
+    }
+    (progress, world, log)
+}
+
+#[test]
+fn an_amendment_keeps_what_is_done_and_orders_the_rest_anew() {
+    let (map, fleet) = (three_ranges(), four(100 * GIB));
+    let graph = compiled("plan p\nagainst 12\nempty-node a\n", &map, &fleet).unwrap();
+    let dropped = |world: &World| {
+        world.ended.iter().any(|id| matches!(world.graph.steps[id.0 as usize].step, Step::Drop { .. }))
+    };
+    let (mut progress, mut world, mut log) = run_until(&graph, |_, world| !world.running.is_empty());
+    let mut tell = |progress: &mut Progress, world: &mut World, entry: Entry| {
+        progress.apply(&entry).unwrap();
+        world.apply(&entry).unwrap();
+        log.push(entry);
+    };
+    let plan = |version: u64, goals: &str| read(&format!("plan q\nagainst {version}\n{goals}")).unwrap();
+    let refused = progress.amendment(&plan(12, "empty-node b\n"), &fleet, 5).unwrap_err();
+    assert!(matches!(refused, AmendRefused::State(Refused::UnderWay(_))), "{refused:?}");
+    let open = Entry::Amended { at: 5, graph: Box::new(graph.clone()) };
+    assert!(matches!(progress.clone().apply(&open), Err(Refused::UnderWay(_))));
+    // Held, it brings to an end what has begun, and begins nothing else.
+    tell(&mut progress, &mut world, Entry::Held);
+    let begun = world.running.len();
+    for _ in 0..40 {
+        let next = progress.next(9, &calm());
+        for start in next.start {
+            assert!(!is_copy(&world, start.step), "a move begins while it is held");
+            tell(&mut progress, &mut world, start.entry());
+        }
+        let Some((step, (token, _))) = world.running.iter().next() else { break };
+        let entry = Entry::Ended { step: *step, token: *token };
+        tell(&mut progress, &mut world, entry);
+    }
+    assert_eq!(progress.next(9, &calm()).stands, Stands::Paused(Pause::Held));
+    assert!(
+        dropped(&world) && begun < graph.steps.iter().filter(|s| matches!(s.step, Step::Copy { .. })).count()
+    );
+    let version = progress.map().version().0;
+    assert_eq!(version, 12 + begun as u64);
+    let other = progress.amendment(&plan(12, "empty-node a\n"), &fleet, 9).unwrap_err();
+    assert!(
+        matches!(&other, AmendRefused::Plan(r) if r[0].rule == "version" && r[0].what.contains("+r")),
+        "{other:?}"
+    );
+    let entry = progress.amendment(&plan(version, "empty-node a\nmove r2 c d\n"), &fleet, 9).unwrap();
+    let old = Entry::Amended { at: 9, graph: Box::new(graph.clone()) };
+    assert!(matches!(progress.clone().apply(&old), Err(Refused::OtherMap(12, _))));
+    tell(&mut progress, &mut world, entry);
+    let run = play(progress, world, log, 3, true).unwrap();
+    assert_eq!(run.stands, Stands::Ended(vec![]));
+    assert!(run.progress.map().ranges().all(|h| !h.replicas.contains(&"a".into())));
+    assert!(run.progress.map().named(RangeId(2)).unwrap().replicas.contains(&"d".into()));
+    assert_eq!(Progress::replay(&run.log).unwrap(), run.progress);
+}
--- a/crates/reshard/tests/support/mod.rs
+++ b/crates/reshard/tests/support/mod.rs
@@ -307,6 +307,7 @@
                 self.graph = (**graph).clone();
                 self.ended.clear();
                 self.told.clear();
+                self.partial.clear();
             }
             _ => {}
         }
