--- a/crates/reshard/src/plan/progress.rs
+++ b/crates/reshard/src/plan/progress.rs
@@ -15,7 +15,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Progress {
     pub(super) graph: Arc<Graph>,
-    pub(super) map: RangeMap,
+    pub(super) map: Arc<RangeMap>,
     pub(super) slots: Vec<Slot>,
     pub(super) ledger: Ledger,
     pub(super) since: Micros,
@@ -26,9 +26,9 @@
     /// Groups that went back.
     pub(super) went_back: BTreeSet<u16>,
     /// Steps that need each step.
-    pub(super) followers: Vec<Vec<StepId>>,
+    pub(super) followers: Arc<Vec<Vec<StepId>>>,
     /// Copies to a node and drops at it, in order.
-    pub(super) touching: BTreeMap<NodeName, Vec<StepId>>,
+    pub(super) touching: Arc<BTreeMap<NodeName, Vec<StepId>>>,
 }
 
 impl Progress {
@@ -65,7 +65,7 @@
             }
         }
         Ok(Progress {
-            map: graph.map.clone(),
+            map: Arc::new(graph.map.clone()),
             slots: vec![Slot::new(); graph.steps.len()],
             ledger: Ledger::new(graph),
             since,
@@ -73,8 +73,8 @@
             last: Token(0),
             stopped: None,
             went_back: BTreeSet::new(),
-            followers,
-            touching,
+            followers: Arc::new(followers),
+            touching: Arc::new(touching),
             graph: Arc::new(graph.clone()),
         })
     }
@@ -316,7 +316,9 @@
             return Ok(());
         }
         let step = self.step(id).clone();
-        self.map = step.applied(&self.map)?;
+        if matches!(step, Step::Switch { .. } | Step::Split { .. } | Step::Merge { .. }) {
+            self.map = Arc::new(step.applied(&self.map)?);
+        }
         self.rest(id);
         if let Step::Drop { node, bytes, memory, .. } = &step {
             self.ledger.free(node, (*bytes, *memory));
@@ -398,7 +400,7 @@
         }
         match self.step(id).back() {
             Back::By(Step::Drop { node, bytes, memory, .. }) => self.ledger.free(&node, (bytes, memory)),
-            Back::By(step) => self.map = step.applied(&self.map)?,
+            Back::By(step) => self.map = Arc::new(step.applied(&self.map)?),
             Back::Nothing | Back::Never => {}
         }
         let slot = &mut self.slots[id.0 as usize];
@@ -419,7 +421,7 @@
         if let Some(step) = self.in_flight().next() {
             return Err(Refused::UnderWay(step));
         }
-        if graph.map != self.map {
+        if graph.map != *self.map {
             return Err(Refused::OtherMap(graph.map.version().0, self.map.version().0));
         }
         let last = self.last;
