A test of memory that is short on the way

Memory was checked by no test where disk was not short too: nodes that change places with room on disk and none in memory are refused with the figure now.

--- a/crates/reshard/src/plan/mod.rs
+++ b/crates/reshard/src/plan/mod.rs
@@ -1,4 +1,4 @@
-//! Plans: [`file`] reads one, [`mod@compile`] makes the graph of steps of it ([`shape`]: what is cut and joined,
+//! Plans: [`mod@file`] reads one, [`mod@compile`] makes the graph of steps of it ([`shape`]: what is cut and joined,
 //! [`place`]: who holds what, [`order`]: an order in which everything fits), [`show`] renders the graph, [`entry`] and
 //! [`progress`] are the log and the state of a plan that runs, [`next`] says what may start,
 //! [`amend`] takes another plan for the rest.
--- a/crates/reshard/tests/refusals.rs
+++ b/crates/reshard/tests/refusals.rs
@@ -145,6 +145,13 @@
     let found = compiled(&text(5), &map, &fleet(24 * GIB)).unwrap_err();
     assert!(found.ends_with("; free-disk 4294967296B"), "{found}");
     assert_eq!(compiled(&text(4), &map, &fleet(24 * GIB)).unwrap().steps.len(), 8);
+    // The same in memory, of which each range takes half its bytes.
+    let mut small = fleet(100 * GIB);
+    small.nodes.values_mut().for_each(|n| n.memory = 12 * GIB);
+    let text = |free: u64| format!("{HEAD}free-memory {free}GiB\nmove r0 a b\nmove r1 b a\n");
+    let found = compiled(&text(3), &map, &small).unwrap_err();
+    assert!(found.contains("lacks 1GiB at a; free-memory 2147483648B"), "{found}");
+    assert_eq!(compiled(&text(2), &map, &small).unwrap().steps.len(), 8);
 }
 
 /// The first copy in the order of the keys would take the room that the second one needs to make room for the third.
