A held plan begins what a move under way needs

A whole group under way that needed a split of another group stood without a cause when the plan was held: the split was no move under way.

--- a/crates/reshard/src/plan/progress.rs
+++ b/crates/reshard/src/plan/progress.rs
@@ -3,7 +3,7 @@
 
 use super::entry::*;
 use super::goals::Then;
-use super::graph::Graph;
+use super::graph::{Graph, Planned};
 use super::room::{Asked, Ledger, Short};
 use super::step::{Back, Step, StepId, exact};
 use plover_model::time::Micros;
@@ -157,7 +157,7 @@
         }
         let planned = &self.graph.steps[id.0 as usize];
         let group = &self.graph.groups[usize::from(planned.group)];
-        let under_way = || slot.state != StepState::Waiting || self.under_way(id);
+        let under_way = || slot.state != StepState::Waiting || self.under_way().contains(&id);
         match self.said {
             Said::Go => {}
             Said::Pause => return Err(Refused::Said(Said::Pause)),
@@ -192,18 +192,39 @@
         Ok(())
     }
 
-    /// Whether the move of a step, or its whole group, has begun and not come to its end.
-    fn under_way(&self, id: StepId) -> bool {
-        let planned = &self.graph.steps[id.0 as usize];
-        let whole = self.graph.groups[usize::from(planned.group)].whole;
-        let same = |other: &StepId| {
-            let other = &self.graph.steps[other.0 as usize];
-            other.group == planned.group
-                && (whole || (planned.chain.is_some() && other.chain == planned.chain))
+    /// Steps of moves and whole groups that have begun and not come to their end.
+    pub fn in_flight(&self) -> impl Iterator<Item = StepId> + '_ {
+        let begun = |slot: &Slot| !matches!(slot.state, StepState::Waiting | StepState::Left);
+        let steps = || self.graph.steps.iter().zip(&self.slots);
+        let whole = |planned: &Planned| self.graph.groups[usize::from(planned.group)].whole;
+        let (mut chains, mut groups) = (BTreeSet::new(), BTreeSet::new());
+        for (planned, _) in steps().filter(|(_, slot)| begun(slot)) {
+            chains.extend(planned.chain);
+            groups.extend(whole(planned).then_some(planned.group));
+        }
+        let moves = move |planned: &Planned| {
+            groups.contains(&planned.group) || planned.chain.is_some_and(|chain| chains.contains(&chain))
         };
-        self.ids()
-            .filter(same)
-            .any(|id| !matches!(self.slots[id.0 as usize].state, StepState::Waiting | StepState::Left))
+        let open = self.ids().zip(steps()).filter(|(_, (_, slot))| !slot.settled());
+        open.filter(move |(_, (planned, slot))| begun(slot) || moves(planned)).map(|(id, _)| id)
+    }
+
+    /// Those, and all that they need to come to their end.
+    fn under_way(&self) -> BTreeSet<StepId> {
+        let mut all = BTreeSet::new();
+        let mut rest: Vec<StepId> = self.in_flight().collect();
+        while let Some(id) = rest.pop() {
+            if !all.insert(id) {
+                continue;
+            }
+            let planned = &self.graph.steps[id.0 as usize];
+            rest.extend(planned.needs.iter().filter(|n| !self.slots[n.0 as usize].settled()));
+            if self.slots[id.0 as usize].state == StepState::Waiting {
+                let open = |id: &StepId| !all.contains(id) && !self.slots[id.0 as usize].settled();
+                rest.extend(planned.awaits.iter().flat_map(|g| self.of_group(*g)).filter(open));
+            }
+        }
+        all
     }
 
     /// What a copy takes that is not yet taken.
@@ -429,12 +450,4 @@
         self.last = last;
         Ok(())
     }
-
-    /// Steps of moves and whole groups that have begun and not come to their end.
-    pub fn in_flight(&self) -> impl Iterator<Item = StepId> + '_ {
-        self.ids().filter(|id| {
-            !self.slots[id.0 as usize].settled()
-                && (self.slots[id.0 as usize].state != StepState::Waiting || self.under_way(*id))
-        })
-    }
 }
--- a/crates/reshard/tests/running.rs
+++ b/crates/reshard/tests/running.rs
@@ -255,6 +255,12 @@
     }
 }
 
+/// A seed that stood without a cause once: held, while a whole group under way needed a split of another group.
+#[test]
+fn a_held_plan_begins_what_a_move_under_way_needs() {
+    assert!(whole_run(304_590, false).unwrap().is_some());
+}
+
 #[test]
 fn the_seeds_reach_all_that_is_claimed() {
     let mut seen = BTreeMap::<&str, usize>::new();
