--- a/crates/placement/src/guide.rs
+++ b/crates/placement/src/guide.rs
@@ -17,6 +17,8 @@
     slopes: [f64; MEASURES],
     powers: Vec<[f64; MEASURES]>,
     zones: Vec<f64>,
+    /// Points that the links of zones gain at most.
+    pub link_most: f64,
 }
 
 /// What a node that gives something up changes.
@@ -41,6 +43,7 @@
             slopes: [0.0; MEASURES],
             powers: Vec::new(),
             zones: Vec::new(),
+            link_most: 0.0,
         };
         for node in 0..layout.model.nodes.len() {
             let powers = guide.all_powers(&layout.shares(node));
@@ -80,6 +83,7 @@
             self.norms[measure] = self.weights[measure] * self.scale[measure] * sum.powf(self.root());
             self.slopes[measure] = if sum > 0.0 { self.norms[measure] * self.root() / sum } else { 0.0 };
         }
+        self.link_most = (-1.05 * self.worth(3, -self.zones.iter().sum::<f64>())).max(0.0);
     }
 
     /// What lowering a node by its powers would gain.
@@ -110,10 +114,10 @@
         Lift { more, most: 1.05 * (0..MEASURES).map(gain).sum::<f64>() }
     }
 
-    /// Points that the links of two zones gain at most.
-    pub(crate) fn link_lift(&self, layout: &Layout<'_>, from: usize, to: usize) -> f64 {
-        let (one, other) = (layout.model.nodes[from].zone, layout.model.nodes[to].zone);
-        if one == other { 0.0 } else { -1.05 * self.worth(3, -self.zones[one] - self.zones[other]) }
+    /// Points that a node gains at most, whatever it gives up.
+    pub(crate) fn whole_lift(&self, node: usize) -> f64 {
+        let gain = |measure: usize| (-self.worth(measure, -self.powers[node][measure])).max(0.0);
+        1.05 * (0..MEASURES).map(gain).sum::<f64>()
     }
 
     fn zone_more(&self, layout: &Layout<'_>, zone: usize, out: f64) -> f64 {
--- a/crates/placement/src/layout.rs
+++ b/crates/placement/src/layout.rs
@@ -100,6 +100,11 @@
         &self.holders[range]
     }
 
+    /// Nodes that hold each range.
+    pub(crate) fn all_holders(&self) -> Vec<Vec<usize>> {
+        self.holders.clone()
+    }
+
     /// Ranges on a node.
     pub fn on(&self, node: usize) -> &[usize] {
         &self.on[node]
@@ -249,6 +254,15 @@
             && fits(after(0) + memory, room[0] * model.memory_most)
     }
 
+    /// Whether one more replica off a node that stays would be too many of this range in one plan.
+    pub(crate) fn moved_enough(&self, range: usize, from: usize) -> bool {
+        let (model, now) = (self.model, &self.holders[range]);
+        let home = &model.ranges[range].holders;
+        let stays = |&&node: &&usize| model.nodes[node].standing != Standing::Leaving;
+        let gone = home.iter().filter(stays).filter(|node| !now.contains(node)).count();
+        home.contains(&from) && stays(&&from) && gone >= model.ranges[range].most
+    }
+
     /// Shares of a node that gives up a range.
     pub(crate) fn gives(&self, range: usize, from: usize) -> [f64; MEASURES] {
         self.traded(from, Some(range), None)
--- a/crates/placement/src/model.rs
+++ b/crates/placement/src/model.rs
@@ -44,6 +44,10 @@
     pub rank: usize,
     /// Pairs that it is in.
     pub pairs: Vec<usize>,
+    /// Points that copying its bytes costs, time and risk not counted.
+    pub least_price: f64,
+    /// Points by crossing that one move of it gains at most.
+    pub most_cross: f64,
     /// Slowest bytes a second at which a holder gives.
     pub gives: f64,
     /// It moves already, or nothing is known of it: it stays wholly.
@@ -156,9 +160,21 @@
         model.take_ranges(view, &index);
         model.take_pairs(view);
         model.fullest_memory();
+        model.bounds();
         model
     }
 
+    fn bounds(&mut self) {
+        let w = &self.settings.weights;
+        let far = self.far.iter().copied().fold(1.0, f64::max);
+        for range in &mut self.ranges {
+            range.least_price = w.bytes * range.bytes / self.all_bytes;
+            let paired: f64 = range.pairs.iter().map(|&pair| self.pairs[pair].bytes).sum();
+            let moved = (2.0 * range.answers + paired) / range.live.max(1) as f64;
+            range.most_cross = w.cross * far * moved / self.all_answers;
+        }
+    }
+
     /// Memory may be as full as it is at the fullest node that serves.
     fn fullest_memory(&mut self) {
         let mut hot: Vec<f64> = self.kept.iter().map(|kept| kept[0]).collect();
@@ -248,6 +264,8 @@
                 answers,
                 rank: 0,
                 pairs: Vec::new(),
+                least_price: 0.0,
+                most_cross: 0.0,
                 gives,
                 fixed: load.is_none() || !under_way.is_empty(),
                 rests: false,
--- a/crates/placement/src/order.rs
+++ b/crates/placement/src/order.rs
@@ -7,7 +7,7 @@
 use crate::proposal::{Proposal, Reason, Relocation, Step};
 use plover_ranges::Standing;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
+use std::collections::{BTreeSet, BinaryHeap, VecDeque};
 
 /// The objective through a row of moves, without adding all up for each.
 struct Exact {
@@ -86,50 +86,49 @@
     moves
 }
 
-/// Takes back moves, one by one and by twos that swap, as long as the objective gets no worse.
-fn prune(layout: &mut Layout<'_>) {
+/// Takes back moves, alone or with another range sent in their place, as long as the objective gets better: what was worth
+/// moving early in a search may not be at its end, and a smaller range may do.
+pub(crate) fn prune(layout: &mut Layout<'_>, urgent: bool) {
     let model = layout.model;
     let mut exact = Exact::new(layout);
+    // A look goes through all nodes.
+    let mut left = model.settings.effort.saturating_mul(LOOKS) / model.nodes.len().max(1) as u64;
     for _ in 0..4 {
         let mut list = moves(model, layout);
         list.sort_by(|a, b| model.points(b.0, b.2).total_cmp(&model.points(a.0, a.2)).then(a.cmp(b)));
-        let mut by_ends: BTreeMap<(usize, usize), Vec<usize>> = BTreeMap::new();
-        for &(range, from, to) in &list {
-            by_ends.entry((from, to)).or_default().push(range);
-        }
         let mut changed = false;
         for &(range, from, to) in &list {
-            let here = |layout: &Layout<'_>, range: usize, from: usize, to: usize| {
-                layout.holders(range).contains(&to) && !layout.holders(range).contains(&from)
-            };
-            if !here(layout, range, from, to) {
+            let holders = layout.holders(range);
+            if !holders.contains(&to) || holders.contains(&from) || layout.too_few_zones(range, to, from) {
                 continue;
             }
-            let others = by_ends.get(&(to, from)).map_or(&[][..], Vec::as_slice);
-            for other in [None].into_iter().chain(others.iter().copied().map(Some)) {
-                let fits = match other {
-                    None => true,
-                    Some(other) => other != range && here(layout, other, to, from),
-                };
+            let mut best: Option<(f64, Option<usize>, Effect)> = None;
+            let others =
+                layout.on(from).iter().copied().filter(|&other| !urgent && may_go(layout, other, from, to));
+            for other in [None].into_iter().chain(others.map(Some)) {
                 let room = layout.has_room(from, range, other)
-                    && other.is_none_or(|other| {
-                        layout.has_room(to, other, Some(range)) && !layout.too_few_zones(other, from, to)
-                    });
-                if !fits || !room || layout.too_few_zones(range, to, from) {
+                    && other.is_none_or(|other| layout.has_room(to, other, Some(range)));
+                if !room || left == 0 {
                     continue;
                 }
                 let effect = layout.effect(range, to, from, other);
+                if effect.way.plain >= 0.0 {
+                    continue;
+                }
+                left -= 1;
                 let points = exact.after(layout, to, from, &effect);
-                if points <= exact.points {
-                    layout.shift(range, to, from);
-                    if let Some(other) = other {
-                        layout.shift(other, from, to);
-                    }
-                    exact.follow(layout, to, from, &effect, points);
-                    changed = true;
-                    break;
+                if points < best.as_ref().map_or(exact.points - 1e-12, |(points, ..)| *points) {
+                    best = Some((points, other, effect));
                 }
             }
+            if let Some((points, other, effect)) = best {
+                layout.shift(range, to, from);
+                if let Some(other) = other {
+                    layout.shift(other, from, to);
+                }
+                exact.follow(layout, to, from, &effect, points);
+                changed = true;
+            }
         }
         if !changed {
             break;
@@ -137,9 +136,23 @@
     }
 }
 
+/// Looks of a whole pruning by nodes and effort.
+const LOOKS: u64 = 512;
+
+/// Whether a range may go from one node to another, room aside.
+fn may_go(layout: &Layout<'_>, range: usize, from: usize, to: usize) -> bool {
+    let model = layout.model;
+    let home = &model.ranges[range].holders;
+    model.lets_go(range, from)
+        && (model.takes(range, to) || home.contains(&to))
+        && !layout.holders(range).contains(&to)
+        && !layout.moved_enough(range, from)
+        && !layout.too_few_zones(range, from, to)
+}
+
 /// The plan that leads to this placement, or part of the way where room or gain ends earlier.
-pub(crate) fn plan(model: &Model, mut target: Layout<'_>) -> Proposal {
-    prune(&mut target);
+pub(crate) fn plan(model: &Model, mut target: Layout<'_>, urgent: bool) -> Proposal {
+    prune(&mut target, urgent);
     let mut queue = Queue::new(model, moves(model, &target));
     let before = queue.layout.terms();
     let weights = &model.settings.weights;
--- a/crates/placement/src/search.rs
+++ b/crates/placement/src/search.rs
@@ -4,7 +4,7 @@
 //! The objective looks at the fullest node alone, so that where ten are equally full no single move helps. The stand-in puts a
 //! high power mean in the place of each maximum: every one of the ten then counts, and the higher the power the closer the two.
 
-use crate::guide::{Guide, Lift};
+use crate::guide::Guide;
 use crate::layout::{Layout, MEASURES};
 use crate::model::Model;
 use crate::order;
@@ -42,29 +42,42 @@
     }
     let empty = |&node: &usize| !model.holding[node] && model.nodes[node].standing == Standing::Warm;
     let empties = (0..model.nodes.len()).filter(empty).count();
-    let best = plan(&model, guard.urgent, false);
     if empties == 0 {
-        return best;
+        return plan(&model, guard.urgent, false);
     }
     // With the nodes that hold nothing as well. The plan without them stays in the race: a node more makes nothing worse.
-    let with = plan(&model, guard.urgent, true);
-    if with.points_after < best.points_after { with } else { best }
+    let mut plans = on_all_cores(&[true, false], 2, |&empty_too| plan(&model, guard.urgent, empty_too));
+    plans.sort_by(|a, b| a.points_after.total_cmp(&b.points_after));
+    plans.swap_remove(0)
 }
 
 fn plan(model: &Model, urgent: bool, empty_too: bool) -> Proposal {
     let mut search = Search::new(model, urgent, empty_too);
-    search.run();
-    order::plan(model, search.layout)
+    let most = search.left / 4 * 3;
+    search.run(&STAGES, most);
+    // What is taken back leaves room for better.
+    order::prune(&mut search.layout, urgent);
+    search.layout = Layout::of(model, search.layout.all_holders());
+    search.run(&AGAIN, search.left);
+    order::plan(model, search.layout, urgent)
 }
 
 /// Least change that counts, in points: below it is rounding.
 const LEAST: f64 = 1e-9;
 /// Passes over all nodes with one power at most.
-const SWEEPS: usize = 12;
+const SWEEPS: usize = 8;
 /// Powers of the stand-in in turn: two to each of these.
-const STAGES: [u32; 4] = [3, 5, 6, 7];
+const STAGES: [u32; 4] = [2, 4, 6, 7];
+/// And once moves were taken back.
+const AGAIN: [u32; 2] = [6, 7];
 /// Up to so many nodes, swaps are tried with each of them.
 const ALL_NODES: usize = 64;
+/// Smaller fleets are looked at as closely as if they had so many nodes.
+const LEAST_NODES: usize = 128;
+/// Fewer items than this are not worth threads.
+const FEW: usize = 64;
+/// What a close look at a candidate counts; one that is out at a glance counts 1.
+const CLOSE: u64 = 8;
 
 struct Search<'m> {
     layout: Layout<'m>,
@@ -75,9 +88,8 @@
     listed: Vec<Vec<usize>>,
     random: Pcg64Mcg,
     urgent: bool,
-    /// Candidates that this stage may look at yet, and those of later stages.
+    /// What may be looked at yet.
     left: u64,
-    kept_back: u64,
 }
 
 impl<'m> Search<'m> {
@@ -91,24 +103,19 @@
             }
         }
         listed.retain(|zone| !zone.is_empty());
+        let left = model.settings.effort.saturating_mul(model.nodes.len().max(LEAST_NODES) as u64);
         let random = Pcg64Mcg::seed_from_u64(model.settings.seed);
-        Search {
-            layout,
-            guide,
-            rooms: Vec::new(),
-            listed,
-            random,
-            urgent,
-            left: model.settings.effort,
-            kept_back: 0,
-        }
+        Search { layout, guide, rooms: Vec::new(), listed, random, urgent, left }
     }
 
-    fn run(&mut self) {
-        for (stage, doublings) in STAGES.into_iter().enumerate() {
-            // Each stage may use up its part of what is left, so that the last one has its own.
-            self.kept_back = self.left - self.left / (STAGES.len() - stage) as u64;
-            self.left -= self.kept_back;
+    /// Goes down the stand-in with these powers in turn, with this part of what is left to look at.
+    fn run(&mut self, stages: &[u32], most: u64) {
+        let kept = self.left - most;
+        self.left = most;
+        for (at, &doublings) in stages.iter().enumerate() {
+            // A stage may use up half of what is left, so that the later ones have their own.
+            let later = if at + 1 < stages.len() { self.left / 2 } else { 0 };
+            self.left -= later;
             self.guide = Guide::new(&self.layout, doublings);
             self.list_rooms();
             for _ in 0..SWEEPS {
@@ -122,8 +129,9 @@
                 self.guide = Guide::new(&self.layout, doublings);
                 self.list_rooms();
             }
-            self.left += self.kept_back;
+            self.left += later;
         }
+        self.left += kept;
     }
 
     fn room_of(&self, node: usize) -> u64 {
@@ -140,11 +148,14 @@
             .collect();
     }
 
+    /// Nodes that leave, then the fullest.
     fn by_pressure(&self) -> Vec<usize> {
-        let mut nodes: Vec<(f64, usize)> =
-            (0..self.layout.model.nodes.len()).map(|node| (self.guide.pressure(node), node)).collect();
-        nodes.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
-        nodes.into_iter().map(|(_, node)| node).collect()
+        let model = self.layout.model;
+        let stays = |node: usize| model.nodes[node].standing != Standing::Leaving;
+        let mut nodes: Vec<(bool, f64, usize)> =
+            (0..model.nodes.len()).map(|node| (stays(node), self.guide.pressure(node), node)).collect();
+        nodes.sort_by(|a, b| a.0.cmp(&b.0).then(b.1.total_cmp(&a.1)).then(a.2.cmp(&b.2)));
+        nodes.into_iter().map(|(.., node)| node).collect()
     }
 
     fn may_leave(&self, range: usize, from: usize) -> bool {
@@ -153,16 +164,7 @@
             model.nodes[from].standing == Standing::Leaving
                 || self.layout.zones_of(range) < model.zones_wanted(range)
         };
-        model.lets_go(range, from) && (!self.urgent || urgent()) && !self.moved_enough(range, from)
-    }
-
-    /// Whether one more replica off a node that stays would be too many of this range in one plan.
-    fn moved_enough(&self, range: usize, from: usize) -> bool {
-        let (model, now) = (self.layout.model, self.layout.holders(range));
-        let home = &model.ranges[range].holders;
-        let stays = |&&node: &&usize| model.nodes[node].standing != Standing::Leaving;
-        let gone = home.iter().filter(stays).filter(|node| !now.contains(node)).count();
-        home.contains(&from) && stays(&&from) && gone >= model.ranges[range].most
+        model.lets_go(range, from) && (!self.urgent || urgent()) && !self.layout.moved_enough(range, from)
     }
 
     fn may_come(&self, range: usize, from: usize, to: usize, without: Option<usize>) -> bool {
@@ -186,20 +188,30 @@
         targets
     }
 
-    fn best_target(&mut self, range: usize, from: usize, targets: &[usize]) -> Option<(f64, usize)> {
+    /// The best node for a replica to go to; it adds to `looked` how many it looked at.
+    fn best_target(
+        &self,
+        range: usize,
+        from: usize,
+        targets: &[usize],
+        looked: &mut u64,
+    ) -> Option<(f64, usize)> {
         let model = self.layout.model;
         let home = &model.ranges[range].holders;
         let lift = self.guide.lift(from, &self.layout.gives(range, from));
+        let calm = self.calm(range, from);
         let mut best: Option<(f64, usize)> = None;
         for &to in targets.iter().chain(home) {
-            if self.left == 0 || !self.may_come(range, from, to, None) {
+            // What the old holder gains at most does not pay: the new one need not be looked at.
+            *looked += 1;
+            let least = best.map_or(-LEAST, |(least, _)| least);
+            let hopeless = calm && self.least_plain(range, from, to) - lift.most > least;
+            if hopeless || !self.may_come(range, from, to, None) {
                 continue;
             }
-            self.left -= 1;
+            *looked += CLOSE;
             let way = self.layout.way(range, from, to);
-            // What the old holder gains at most does not pay: the new one need not be looked at.
-            let least = best.map_or(-LEAST, |(least, _)| least);
-            if way.plain - lift.most - self.guide.link_lift(&self.layout, from, to) > least {
+            if way.plain - lift.most - self.link_most(from, to) > least {
                 continue;
             }
             let change = self.guide.shift(&self.layout, from, &lift, to, &self.layout.gets(range, to), &way);
@@ -210,6 +222,35 @@
         best
     }
 
+    /// Whether nothing but shares, crossing and cost is at stake in a move off this node.
+    fn calm(&self, range: usize, from: usize) -> bool {
+        let model = self.layout.model;
+        model.nodes[from].standing == Standing::Warm
+            && self.layout.zones_of(range) >= model.zones_wanted(range)
+    }
+
+    /// Points that the links of zones gain at most by a move.
+    fn link_most(&self, from: usize, to: usize) -> f64 {
+        let nodes = &self.layout.model.nodes;
+        if nodes[from].zone == nodes[to].zone { 0.0 } else { self.guide.link_most }
+    }
+
+    /// Points that crossing and cost bring at least by a move, links taken off: told without looking closer.
+    fn least_plain(&self, range: usize, from: usize, to: usize) -> f64 {
+        let model = self.layout.model;
+        let facts = &model.ranges[range];
+        let mut least = match (facts.holders.contains(&from), facts.holders.contains(&to)) {
+            (true, true) => 0.0,
+            (true, false) => facts.least_price,
+            (false, true) => -model.points(range, from),
+            (false, false) => model.points(range, to) - model.points(range, from),
+        };
+        if model.nodes[from].zone != model.nodes[to].zone {
+            least -= facts.most_cross + self.guide.link_most;
+        }
+        least
+    }
+
     fn apply(&mut self, range: usize, from: usize, to: usize) {
         for node in [from, to] {
             self.unlist(node);
@@ -239,51 +280,84 @@
         }
     }
 
-    /// Moves off each node what is better elsewhere, the fullest nodes first; points gained.
+    /// Moves off each node what is better elsewhere, the fullest nodes first; points gained. What may gain is looked for on all
+    /// nodes at once, on as many threads as there are; what is found is looked at once more in turn, so that the outcome does
+    /// not depend on them.
     fn sweep(&mut self) -> f64 {
         let each = (24 / self.listed.len().max(1)).clamp(2, 8);
-        let mut gained = 0.0;
-        for from in self.by_pressure() {
-            let targets = self.targets(each, 1);
+        let nodes: Vec<(usize, Vec<usize>)> =
+            self.by_pressure().into_iter().map(|from| (from, self.targets(each, 1))).collect();
+        let found = on_all_cores(&nodes, FEW, |(from, targets)| {
+            let mut looked = 0;
             let mut found = Vec::new();
-            for range in self.layout.on(from).to_vec() {
-                if self.may_leave(range, from)
-                    && let Some((change, _)) = self.best_target(range, from, &targets)
+            for &range in self.layout.on(*from) {
+                if self.may_leave(range, *from)
+                    && let Some((change, _)) = self.best_target(range, *from, targets, &mut looked)
                 {
                     found.push((change, range));
                 }
             }
             found.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+            (found, looked)
+        });
+        let mut gained = 0.0;
+        for ((from, _), (found, looked)) in nodes.into_iter().zip(found) {
+            self.left = self.left.saturating_sub(looked);
             for (_, range) in found {
+                if self.left == 0 {
+                    return gained;
+                }
                 // What stood first in the list may be full by now.
                 let targets = self.targets(each, 1);
-                if let Some((change, to)) = self.best_target(range, from, &targets) {
+                let mut looked = 0;
+                if self.may_leave(range, from)
+                    && let Some((change, to)) = self.best_target(range, from, &targets, &mut looked)
+                {
                     self.apply(range, from, to);
                     gained -= change;
                 }
+                self.left = self.left.saturating_sub(looked);
             }
         }
         gained
     }
 
-    /// Swaps replicas of the fullest nodes for others; points gained.
+    /// Swaps replicas of the fullest nodes for others, in the same two steps; points gained.
     fn swap_sweep(&mut self) -> f64 {
         if self.urgent {
             return 0.0;
         }
-        let mut gained = 0.0;
         let count = self.layout.model.nodes.len();
-        let fullest: Vec<usize> = self.by_pressure().into_iter().take((count / 3).clamp(12, 64)).collect();
-        for from in fullest {
+        let fullest = self.by_pressure().into_iter().take((count / 3).clamp(12, 64));
+        let mut pairs = Vec::new();
+        let mut candidates = 0;
+        for from in fullest.collect::<Vec<usize>>() {
             let others = self.swap_targets();
-            let ranges = self.layout.on(from).to_vec();
-            for range in ranges {
-                if let Some((change, to, back)) = self.best_swap(range, from, &others) {
-                    self.apply(range, from, to);
-                    self.apply(back, to, from);
-                    gained -= change;
-                }
+            candidates +=
+                self.layout.on(from).len() * others.iter().map(|&to| self.layout.on(to).len()).sum::<usize>();
+            // Half of what is left is kept for those that are found.
+            if candidates as u64 > self.left / 2 {
+                break;
             }
+            pairs.extend(self.layout.on(from).iter().map(|&range| (range, from, others.clone())));
+        }
+        let found = on_all_cores(&pairs, FEW, |(range, from, others)| {
+            let mut looked = 0;
+            (self.best_swap(*range, *from, others, &mut looked).is_some(), looked)
+        });
+        let mut gained = 0.0;
+        for ((range, from, others), (found, looked)) in pairs.into_iter().zip(found) {
+            self.left = self.left.saturating_sub(looked);
+            if self.left == 0 || !found || !self.layout.holders(range).contains(&from) {
+                continue;
+            }
+            let mut looked = 0;
+            if let Some((change, to, back)) = self.best_swap(range, from, &others, &mut looked) {
+                self.apply(range, from, to);
+                self.apply(back, to, from);
+                gained -= change;
+            }
+            self.left = self.left.saturating_sub(looked);
         }
         gained
     }
@@ -295,7 +369,13 @@
         self.targets((16 / self.listed.len().max(1)).clamp(1, 4), 2)
     }
 
-    fn best_swap(&mut self, range: usize, from: usize, others: &[usize]) -> Option<(f64, usize, usize)> {
+    fn best_swap(
+        &self,
+        range: usize,
+        from: usize,
+        others: &[usize],
+        looked: &mut u64,
+    ) -> Option<(f64, usize, usize)> {
         let model = self.layout.model;
         if !self.may_leave(range, from) {
             return None;
@@ -307,21 +387,17 @@
                 continue;
             }
             let way = self.layout.way(range, from, to);
-            let link = self.guide.link_lift(&self.layout, from, to);
+            // No more is gained than if both went nowhere.
+            let gain = lift.most + self.guide.whole_lift(to) + self.link_most(from, to);
             for &back in self.layout.on(to) {
-                if self.left == 0 {
-                    return best;
-                }
-                self.left -= 1;
-                let back_way = self.layout.way(back, to, from);
-                let plain = way.plain + back_way.plain;
+                *looked += 1;
                 let least = best.map_or(-LEAST, |(least, ..)| least);
-                // No more is gained than if both went nowhere.
-                if plain - lift.most - link > least
-                    && plain - lift.most - link - self.back_lift(back, to).most > least
-                {
+                let hopeless =
+                    self.calm(back, to) && way.plain + self.least_plain(back, to, from) - gain > least;
+                if hopeless || way.plain + self.layout.way(back, to, from).plain - gain > least {
                     continue;
                 }
+                *looked += CLOSE;
                 let paired =
                     model.ranges[range].pairs.iter().any(|pair| model.ranges[back].pairs.contains(pair));
                 let may = !paired
@@ -340,8 +416,25 @@
         }
         best
     }
+}
 
-    fn back_lift(&self, back: usize, to: usize) -> Lift {
-        self.guide.lift(to, &self.layout.gives(back, to))
+/// What a function makes of each item, in order.
+fn on_all_cores<I: Sync, T: Send>(items: &[I], few: usize, make: impl Fn(&I) -> T + Sync) -> Vec<T> {
+    let threads = std::thread::available_parallelism().map_or(1, |count| count.get().min(16));
+    let each = items.len().div_ceil(threads);
+    if threads == 1 || items.len() < few {
+        return items.iter().map(make).collect();
     }
+    let make = &make;
+    std::thread::scope(|scope| {
+        let parts: Vec<_> = items
+            .chunks(each)
+            .map(|part| (part, scope.spawn(move || part.iter().map(make).collect::<Vec<T>>())))
+            .collect();
+        // A thread that ended badly is made up for by this one, which then ends the same way.
+        parts
+            .into_iter()
+            .flat_map(|(part, thread)| thread.join().unwrap_or_else(|_| part.iter().map(make).collect()))
+            .collect()
+    })
 }
--- a/crates/placement/src/settings.rs
+++ b/crates/placement/src/settings.rs
@@ -74,7 +74,7 @@
     pub moves: usize,
     /// Points that a plan must gain, its cost taken off.
     pub gain: f64,
-    /// Candidates that one search looks at, at most.
+    /// Candidates that one search looks at for each node, 128 nodes at least; a close look counts eight.
     pub effort: u64,
     /// Each round trip of this adds one more time a crossing answer's bytes.
     pub distance: Micros,
@@ -95,7 +95,7 @@
             at_once: 4,
             moves: 64,
             gain: 0.02,
-            effort: 20_000_000,
+            effort: 80_000,
             distance: 10_000,
             seed: 1,
         }
