--- a/crates/placement/src/memory.rs
+++ b/crates/placement/src/memory.rs
@@ -70,7 +70,7 @@
             let moved = self.of(held.id);
             let own = moved.iter().filter(|moved| !moved.leaving).count();
             let rests = moved.iter().any(|moved| now.saturating_sub(moved.at) < rules.rest);
-            if rests || own >= rules.most {
+            if rests {
                 guard.rests.insert(held.id);
             }
             guard.most.insert(held.id, rules.most.saturating_sub(own));
--- a/crates/placement/src/order.rs
+++ b/crates/placement/src/order.rs
@@ -92,7 +92,7 @@
     let model = layout.model;
     let mut exact = Exact::new(layout);
     // A look goes through all nodes.
-    let mut left = model.settings.effort.saturating_mul(LOOKS) / model.nodes.len().max(1) as u64;
+    let mut left = model.settings.effort.saturating_mul(LOOKS) / model.serving as u64;
     for _ in 0..4 {
         let mut list = moves(model, layout);
         list.sort_by(|a, b| model.points(b.0, b.2).total_cmp(&model.points(a.0, a.2)).then(a.cmp(b)));
--- a/crates/placement/src/search.rs
+++ b/crates/placement/src/search.rs
@@ -103,7 +103,7 @@
             }
         }
         listed.retain(|zone| !zone.is_empty());
-        let left = model.settings.effort.saturating_mul(model.nodes.len().max(LEAST_NODES) as u64);
+        let left = model.settings.effort.saturating_mul(model.serving.max(LEAST_NODES) as u64);
         let random = Pcg64Mcg::seed_from_u64(model.settings.seed);
         Search { layout, guide, rooms: Vec::new(), listed, random, urgent, left }
     }
@@ -152,8 +152,12 @@
     fn by_pressure(&self) -> Vec<usize> {
         let model = self.layout.model;
         let stays = |node: usize| model.nodes[node].standing != Standing::Leaving;
-        let mut nodes: Vec<(bool, f64, usize)> =
-            (0..model.nodes.len()).map(|node| (stays(node), self.guide.pressure(node), node)).collect();
+        // Nothing is drawn for empty ones: the plan without them must not depend on how many there are.
+        let holds = |node: &usize| !self.layout.on(*node).is_empty();
+        let mut nodes: Vec<(bool, f64, usize)> = (0..model.nodes.len())
+            .filter(holds)
+            .map(|node| (stays(node), self.guide.pressure(node), node))
+            .collect();
         nodes.sort_by(|a, b| a.0.cmp(&b.0).then(b.1.total_cmp(&a.1)).then(a.2.cmp(&b.2)));
         nodes.into_iter().map(|(.., node)| node).collect()
     }
@@ -327,7 +331,7 @@
         if self.urgent {
             return 0.0;
         }
-        let count = self.layout.model.nodes.len();
+        let count = self.layout.model.serving;
         let fullest = self.by_pressure().into_iter().take((count / 3).clamp(12, 64));
         let mut pairs = Vec::new();
         let mut candidates = 0;
