--- a/crates/placement/tests/placement/props.rs
+++ b/crates/placement/tests/placement/props.rs
@@ -110,3 +110,13 @@
     assert!(plan.points_before.is_finite() && plan.points_after.is_finite());
     assert!(plan.steps.iter().all(|step| step.relocation.to != name(2)));
 }
+
+#[test]
+fn a_node_that_cannot_be_used_yet_changes_nothing() {
+    // So many nodes that those drawn by chance count.
+    let mut yard = fleet(KINDS[1], 96, 400, 1);
+    let alone = plan(&yard, &[]);
+    let cold = plover_ranges::Node { standing: Standing::Cold, ..yard.fleet.nodes[&name(3)].clone() };
+    yard.fleet.nodes.insert("a".into(), cold);
+    assert_eq!(plan(&yard, &[]), alone);
+}
