--- a/crates/ploverport/tests/operation/main.rs
+++ b/crates/ploverport/tests/operation/main.rs
@@ -4,7 +4,9 @@
 mod coming_back;
 mod door;
 mod drain;
+mod restart;
 mod rig;
 mod settings;
 mod soak;
 mod upgrade;
+mod watch;
