Keep parts that share a call with their row's holder

At fault: pick() in choice.rs. A part of 110 ms that this batch has put at the row's holder puts it 0.06 of the aim behind a holder without one, so that the second part of a cell left the row and paid for a call of its own. Ruled out: the plan of rows, which gives one holder to all parts of a cell. The change: what this batch has put there does not count against a row's holder. Test: three heavy parts of a cell go to one of four servers; without the change they spread.

--- a/crates/brookbend/src/choice.rs
+++ b/crates/brookbend/src/choice.rs
@@ -175,7 +175,7 @@
     pub fn on_batch(&mut self, now: Ms, events: Vec<Event>) -> Vec<Action> {
         self.now = now;
         self.desk.stood = now > self.wake_at + PAUSE_AIM * self.set.shortest_aim();
-        self.fleet.servers.iter_mut().for_each(|s| s.bundled = 0);
+        self.fleet.servers.iter_mut().for_each(|s| (s.bundled, s.bundled_work) = (0, 0.0));
         for event in events {
             match event {
                 Event::List { kind, members } => self.hear_list(kind, members),
@@ -458,7 +458,9 @@
             return best(&mut holders.iter().copied().filter(|s| open(s) && room(s)));
         };
         let margin = BEHIND_AIM * self.set.classes[q.class].aim;
-        let keeps = |s: &usize| open(s) && fit(s) && score(*s) <= score(best_fit) + margin;
+        // What this batch has put there shares the call: a row's holder is not behind for it.
+        let own = |s: usize| self.fleet.servers[s].pace * self.fleet.servers[s].bundled_work;
+        let keeps = |s: &usize| open(s) && fit(s) && score(*s) - own(*s) <= score(best_fit) + margin;
         piece.row_holder.filter(|s| holders.contains(s) && keeps(s)).or(Some(best_fit))
     }
 
@@ -621,6 +623,7 @@
         let s = &mut self.fleet.servers[server];
         s.work_out += work;
         s.bundled += 1;
+        s.bundled_work += work;
         s.flying.push((self.now, expected));
         if s.cold_since.is_some() {
             s.cold_sends.push_back((self.now, work));
--- a/crates/brookbend/src/state.rs
+++ b/crates/brookbend/src/state.rs
@@ -36,6 +36,8 @@
     pub(crate) wished: bool,
     /// Parts sent in this batch: they share calls.
     pub(crate) bundled: usize,
+    /// Their work.
+    pub(crate) bundled_work: Ms,
     /// Work of others that its own last report shows, and when that first came.
     pub(crate) reported: (Ms, Ms),
     /// What that report said it holds.
@@ -226,6 +228,7 @@
             lot: 1.0,
             wished: false,
             bundled: 0,
+            bundled_work: 0.0,
             reported: (0.0, f64::NEG_INFINITY),
             held: f64::NAN,
         }
--- a/crates/brookbend/tests/module.rs
+++ b/crates/brookbend/tests/module.rs
@@ -45,6 +45,18 @@
     }
 }
 
+/// The second part of a cell does not leave its row for the work of the first: they share a call.
+#[test]
+fn heavy_parts_of_a_cell_share_a_call() {
+    let mut s = Stand::new(Settings { call_work: 60.0, ..sets() }, 4);
+    for k in 0..10 {
+        let sent = sends(&s.ask(&format!("q{k}"), &[0, 2, 4]));
+        let nodes: BTreeSet<_> = sent.iter().map(|t| &t.1).collect();
+        assert_eq!((sent.len(), nodes.len()), (3, 1), "{sent:?}");
+        s.step(100.0, sent.iter().map(|t| ended(&t.0, 0, Outcome::Served, 100.0)).collect());
+    }
+}
+
 #[test]
 fn rows_are_picked_at_random() {
     let mut s = Stand::new(sets(), 3);
