A server's first answer replaces the guess of its rescaled pace; lag is learned from the start again

Cause: the rescaled pace kept four fifths of the first guess with each server's first answer, so that forecasts were too low while the unit climbed; with lag waiting too, nothing made up for that, and admission let in too much.

--- a/crates/brookbend/src/choice.rs
+++ b/crates/brookbend/src/choice.rs
@@ -786,8 +786,7 @@
         }
         let limit = ADMIT.0 + (ADMIT.1 - ADMIT.0) * density / self.desk.best_density.max(f64::MIN_POSITIVE);
         let forecast = mean + SLOWEST * (slowest - mean);
-        // What a query takes beyond a forecast by a guess of its work is no lag: the work learns that.
-        q.forecast = if self.learned[q.class].work.known() { forecast } else { 0.0 };
+        q.forecast = forecast;
         // One that may still earn by a partial answer is worth more of a risk; a late one as to the lag only.
         // Nothing, where the client leaves before the aim: its repeats would fill the fleet with lost work.
         let stays = f64::from(q.give_up_at > q.asked + class.aim);
@@ -888,7 +887,7 @@
                 let news = if elapsed > OVERDUE * f.expected { SLOW_NEWS } else { NEWS };
                 let work = &self.learned[f.class].work;
                 match work.known() {
-                    true => s.pace.approach(pace, pace * f.scale / work.scale(), news),
+                    true => s.pace.observe(pace, pace * f.scale / work.scale(), news),
                     false => s.pace.observe_provisional(f.class, pace, work.scale() / f.scale, news),
                 }
                 s.heard = self.now;
--- a/crates/brookbend/src/estimates/pace.rs
+++ b/crates/brookbend/src/estimates/pace.rs
@@ -10,6 +10,8 @@
 pub(crate) struct Pace {
     told: f64,
     rescaled: f64,
+    /// Whether an answer was observed.
+    heard: bool,
     /// By class: the part of `rescaled` that rests on answers measured against a guess of its unit of work.
     provisional: Vec<(usize, f64)>,
 }
@@ -17,7 +19,7 @@
 impl Pace {
     /// A pace that rests on no answer.
     pub(crate) fn new(told: f64, rescaled: f64) -> Self {
-        Pace { told, rescaled, provisional: Vec::new() }
+        Pace { told, rescaled, heard: false, provisional: Vec::new() }
     }
 
     /// As it was told: what servers are compared by.
@@ -42,13 +44,27 @@
         self.approach(seen.max(self.told), seen.max(self.rescaled), weight);
     }
 
-    /// The same towards what was measured against a guess of this class's unit of work, which has grown by `ratio` since.
+    /// An answer of a class whose unit of work is known tells this; it counts for `weight`.
+    pub(crate) fn observe(&mut self, told: f64, rescaled: f64, weight: f64) {
+        self.heard = true;
+        self.approach(told, rescaled, weight);
+    }
+
+    /// An answer tells this that was measured against a guess of its class's unit of work, which has grown by `ratio` since.
+    /// The first one is all that is known of the time that the server takes: it replaces the rescaled pace, of which the guess
+    /// would else keep the most for many answers.
     pub(crate) fn observe_provisional(&mut self, class: usize, seen: f64, ratio: f64, weight: f64) {
-        self.approach(seen, seen / ratio, weight);
-        let added = weight * seen / ratio;
+        let rescaled = seen / ratio;
+        if !std::mem::replace(&mut self.heard, true) {
+            self.told += weight * (seen - self.told);
+            self.rescaled = rescaled;
+            self.provisional = vec![(class, rescaled)];
+            return;
+        }
+        self.approach(seen, rescaled, weight);
         match self.provisional.iter_mut().find(|(of, _)| *of == class) {
-            Some((_, part)) => *part += added,
-            None => self.provisional.push((class, added)),
+            Some((_, part)) => *part += weight * rescaled,
+            None => self.provisional.push((class, weight * rescaled)),
         }
     }
 
@@ -119,6 +135,18 @@
         assert!((pace.told() - pace.rescaled()).abs() < 0.01, "{pace:?}");
     }
 
+    #[test]
+    fn the_first_answer_replaces_the_guess_and_later_ones_count_in_part() {
+        let mut pace = learned(&[70.0], UNIT);
+        assert_eq!(pace.rescaled(), 2.0);
+        pace.observe_provisional(0, 1.0, 1.0, 0.2);
+        assert!((pace.rescaled() - 1.8).abs() < 1e-9, "{pace:?}");
+        let mut known = Pace::new(FIRST, FIRST);
+        known.observe(1.8, 1.8, 0.2);
+        known.observe_provisional(0, 1.0, 1.0, 0.2);
+        assert!((known.rescaled() - 1.0).abs() < 1e-9, "{known:?}");
+    }
+
     #[test]
     fn a_lower_bound_lowers_nothing() {
         let mut pace = learned(&[35.0], GUESS);
