Queries of a busy hour are no longer weighed by the work of an idle one

What callers saw: on idle servers, at an aim of 75 ms, queries of 690 parts with a forecast of 40 ms were refused: they were allowed 38 ms, just over half of their aim, where the best of their kind may take three quarters (56 ms). Cause (choice.rs admit): the limit goes by worth for work against the best ever seen, and that was never forgotten. The first query is weighed by the guess of its work (2 ms a part), all later ones by what parts take (20 to 40 ms). Evidence: `refused_on_arrival` had allowed_ms 37.9 to 38.4 with the paces mended, whatever the forecast was. Without limit it would be 56. Mend: the best of each class is kept in units of its work and weighed by the unit of now; a class whose unit is a guess counts for its own queries alone.

--- a/crates/brookbend/src/choice.rs
+++ b/crates/brookbend/src/choice.rs
@@ -780,11 +780,11 @@
             }
         }
         let mut density = class.worth / if self.set.worth_by_work { 1.0 } else { total.max(1.0) };
-        self.desk.best_density = self.desk.best_density.max(density);
+        let best = estimates::best_density(&mut self.learned, q.class, density, self.set.worth_by_work);
         if over_share {
             density *= self.set.over_share_worth;
         }
-        let limit = ADMIT.0 + (ADMIT.1 - ADMIT.0) * density / self.desk.best_density.max(f64::MIN_POSITIVE);
+        let limit = ADMIT.0 + (ADMIT.1 - ADMIT.0) * density / best.max(f64::MIN_POSITIVE);
         let forecast = mean + SLOWEST * (slowest - mean);
         q.forecast = forecast;
         // One that may still earn by a partial answer is worth more of a risk; a late one as to the lag only.
--- a/crates/brookbend/src/desk.rs
+++ b/crates/brookbend/src/desk.rs
@@ -20,8 +20,6 @@
     /// When queries and parts came, and when further attempts went.
     pub(crate) taken: VecDeque<Ms>,
     pub(crate) extras: VecDeque<Ms>,
-    /// The most worth for work that a query had.
-    pub(crate) best_density: f64,
     /// Queries that were refused on arrival.
     pub(crate) refusals: Refusals,
     /// Work served since the last second began; and, smoothed, by each warm server in a millisecond.
--- a/crates/brookbend/src/estimates/mod.rs
+++ b/crates/brookbend/src/estimates/mod.rs
@@ -13,6 +13,19 @@
 
 use crate::state::{Learned, Server};
 
+/// The most worth for work that a query of any class has, by units of work as they are estimated now. `density` is that of the
+/// query at hand. Classes whose unit is a guess look worth more than they will be: they count for their own queries alone.
+///
+/// What each class had at best is kept in units of work: the unit moves with load, and worth that was weighed by the unit of an
+/// idle hour would make all queries of a busy one look poor.
+pub(crate) fn best_density(learned: &mut [Learned], class: usize, density: f64, worth_by_work: bool) -> f64 {
+    let unit = |of: &Learned| if worth_by_work { 1.0 } else { of.work.unit() };
+    let own = &mut learned[class];
+    own.best_worth = own.best_worth.max(density * unit(own));
+    let known = learned.iter().enumerate().filter(|(of, l)| *of == class || l.work.known());
+    known.map(|(_, l)| l.best_worth / unit(l)).fold(0.0, f64::max)
+}
+
 /// Carries changed guesses of units of work over to the paces that were measured against them.
 ///
 /// Without this one time counts twice: hundreds of answers of one query step the unit up to the time that they took, while
@@ -38,3 +51,61 @@
     };
     Some((middle(Pace::told)?, middle(Pace::rescaled)?))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const CALL: f64 = 1.0;
+
+    /// A class whose answers took so long, often enough to be known.
+    fn known(time: f64) -> Learned {
+        let mut learned = Learned { work: Work::new(CALL), ..Learned::default() };
+        takes(&mut learned, time);
+        assert!(learned.work.known());
+        learned
+    }
+
+    fn takes(learned: &mut Learned, time: f64) {
+        (0..2000).for_each(|_| learned.work.answered(time));
+        learned.work.take_change();
+    }
+
+    /// The density of a query that is worth 1 and has this many parts.
+    fn density(learned: &[Learned], class: usize, parts: f64) -> f64 {
+        1.0 / (parts * learned[class].work.unit())
+    }
+
+    #[test]
+    fn a_query_is_as_good_as_the_best_of_its_class_however_slow_the_hour_is() {
+        let mut learned = [known(10.0)];
+        let idle = density(&learned, 0, 30.0);
+        assert_eq!(best_density(&mut learned, 0, idle, false), idle);
+        takes(&mut learned[0], 60.0);
+        let busy = density(&learned, 0, 30.0);
+        let best = best_density(&mut learned, 0, busy, false);
+        assert!((busy / best - 1.0).abs() < 1e-9, "{busy} of {best}");
+        // One of more parts is worth less for its work.
+        let wider = density(&learned, 0, 60.0);
+        let best = best_density(&mut learned, 0, wider, false);
+        assert!((wider / best - 0.5).abs() < 1e-9, "{wider} of {best}");
+    }
+
+    #[test]
+    fn a_class_whose_work_is_a_guess_makes_no_other_look_poor() {
+        let mut learned = [known(60.0), Learned { work: Work::new(CALL), ..Learned::default() }];
+        let guess = density(&learned, 1, 1.0);
+        assert_eq!(best_density(&mut learned, 1, guess, false), guess);
+        let of_known = density(&learned, 0, 1.0);
+        assert_eq!(best_density(&mut learned, 0, of_known, false), of_known);
+        takes(&mut learned[1], 30.0);
+        assert!(best_density(&mut learned, 0, of_known, false) > 1.5 * of_known);
+    }
+
+    #[test]
+    fn where_worth_is_told_by_work_the_unit_is_in_it_already() {
+        let mut learned = [known(10.0), known(60.0)];
+        assert_eq!(best_density(&mut learned, 0, 2.0, true), 2.0);
+        assert_eq!(best_density(&mut learned, 1, 1.0, true), 2.0);
+    }
+}
--- a/crates/brookbend/src/state.rs
+++ b/crates/brookbend/src/state.rs
@@ -175,6 +175,8 @@
     pub(crate) width: Width,
     /// Work of a part.
     pub(crate) work: Work,
+    /// The most worth that a query had for its work, in units of work: of a query with one part, its whole worth.
+    pub(crate) best_worth: f64,
     /// How long queries took, beyond their forecast.
     pub(crate) lag: Ms,
     /// How long the second step took.
