The time in which a connection comes up no longer counts as its server's

What callers saw: a first wide query makes its broker refuse the next ones for 4 s and more, on idle servers. Cause (endings.rs end): the time of an answer began with the part's dispatch. The 690 connections of a first wide query come up one after another: its answers took 70 to 95 ms by that count, the next query's 19 to 24 ms, at servers that take 5 ms. The unit of work was learned as 80 ms, at an aim of 75 ms. Mend: the time of an attempt that was served begins once its connection is up. Elsewhere: what a server usually takes (conns.rs), by which a silent connection is told, had the same in it.

--- a/crates/broker/src/upstream/endings.rs
+++ b/crates/broker/src/upstream/endings.rs
@@ -1,7 +1,7 @@
 //! How attempts and connections end.
 
 use super::line::Item;
-use super::{Ended, HALTED, Upstream};
+use super::{Ended, Flight, HALTED, Upstream};
 use crate::inbox::LineEvent;
 use plover_frames::FromServer;
 use plover_model::query::{AttemptId, QueryId};
@@ -83,10 +83,20 @@
             conn.remove(attempt);
             conn.used = now;
         });
-        let elapsed = now.saturating_sub(flight.sent);
+        let elapsed = match outcome {
+            Outcome::Served => self.served_in(now, &flight),
+            _ => now.saturating_sub(flight.sent),
+        };
         self.ended.push(Ended { attempt, outcome, elapsed, load, value });
     }
 
+    /// How long the server of an attempt had it. The time until its connection was up tells nothing of how fast its server
+    /// works: hundreds of connections of a first wide query come up one after another.
+    fn served_in(&self, now: Micros, flight: &Flight) -> Micros {
+        let up_at = self.conns.get(&flight.conn).map_or(0, |conn| conn.line.up_at());
+        now.saturating_sub(flight.sent.max(up_at))
+    }
+
     /// Takes news of a connection.
     pub fn hear(&mut self, now: Micros, id: u64, event: LineEvent) {
         if let LineEvent::Late = event {
@@ -134,7 +144,7 @@
         let Some(conn) = self.conns.get(&id) else { return };
         if let Some(attempt) = conn.answered(part) {
             if let Some(f) = self.flights.get(&attempt) {
-                conn.server.hear(f.sent, now.saturating_sub(f.sent));
+                conn.server.hear(f.sent, self.served_in(now, f));
             }
             let value = (outcome == Outcome::Served).then_some(value);
             return self.end(now, attempt, outcome, held, value);
--- a/crates/broker/src/upstream/line.rs
+++ b/crates/broker/src/upstream/line.rs
@@ -87,6 +87,8 @@
     late: RefCell<BTreeSet<AttemptId>>,
     bell: (Sender<()>, Receiver<()>),
     socket: RefCell<Option<Rc<Async<TcpStream>>>>,
+    /// When it came up; 0 until then.
+    up_at: Cell<Micros>,
     /// A frame that has begun.
     input: RefCell<Vec<u8>>,
     /// Whether its task has asked for a frame, which it does once it is up.
@@ -99,8 +101,8 @@
     pub(super) fn new(counts: Rc<Counts>) -> Self {
         let bell = async_channel::bounded(1);
         let (waiting, staged, writing, rest, late) = Default::default();
-        let (socket, input, asked, ended) = Default::default();
-        Line { waiting, staged, writing, rest, late, bell, socket, input, asked, ended, counts }
+        let (socket, up_at, input, asked, ended) = Default::default();
+        Line { waiting, staged, writing, rest, late, bell, socket, up_at, input, asked, ended, counts }
     }
 
     /// Takes something for its task to write.
@@ -314,6 +316,16 @@
         }
     }
 
+    /// Notes when the connection came up.
+    pub(super) fn came_up(&self, now: Micros) {
+        self.up_at.set(now);
+    }
+
+    /// When the connection came up; 0 if it has not.
+    pub(super) fn up_at(&self) -> Micros {
+        self.up_at.get()
+    }
+
     /// Whether the connection had come up.
     pub(super) fn was_up(&self) -> bool {
         self.socket.borrow().is_some()
@@ -426,6 +438,7 @@
         Ok(stream) => {
             let stream = Rc::new(stream);
             *line.socket.borrow_mut() = Some(stream.clone());
+            line.came_up(clock.now());
             let up = stream.get_ref().set_nodelay(true).and_then(|()| sockets.add(id, &line));
             match up {
                 Ok(()) => write(&stream, id, &line, &sockets, &inbox, &clock).await,
--- a/crates/broker/src/upstream/mod.rs
+++ b/crates/broker/src/upstream/mod.rs
@@ -63,7 +63,7 @@
     pub attempt: AttemptId,
     /// How.
     pub outcome: Outcome,
-    /// Time since its dispatch.
+    /// Time since its dispatch; of one that was served, since its connection was up, if that is later.
     pub elapsed: Micros,
     /// How much the server said it holds.
     pub load: Option<f64>,
--- a/crates/broker/src/upstream/tests.rs
+++ b/crates/broker/src/upstream/tests.rs
@@ -63,6 +63,19 @@
     assert_eq!(pool.conns.values().map(|c| c.out.len()).collect::<Vec<_>>(), [4; 5]);
 }
 
+/// What waited for its connection to come up tells only from then on how long its server takes.
+#[test]
+fn the_time_of_an_answer_begins_once_its_connection_is_up() {
+    let (mut pool, _listener) = pool(limits());
+    pool.dispatch(1_000, sends(1, 1));
+    pool.conns[&0].line.came_up(81_000);
+    pool.hear(101_000, 0, answer("q1.0"));
+    pool.dispatch(200_000, sends(2, 1));
+    pool.hear(230_000, 0, answer("q2.0"));
+    let elapsed: Vec<Micros> = pool.take_ended(230_000).iter().map(|ended| ended.elapsed).collect();
+    assert_eq!(elapsed, [20_000, 30_000]);
+}
+
 /// A server may close a connection right after its answer: the one that rested longest is the safest.
 #[test]
 fn of_idle_connections_the_one_that_rested_longest_is_used() {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -48,7 +48,7 @@
     pub attempt: AttemptId,
     /// How it ended.
     pub outcome: Outcome,
-    /// Time since it was dispatched.
+    /// Time since it was dispatched; of one that was served, since its connection was up, if that is later.
     pub elapsed: Micros,
     /// How much the server said it holds.
     pub load: Option<f64>,
