--- a/crates/ploverport/tests/races/clients.rs
+++ b/crates/ploverport/tests/races/clients.rs
@@ -1,6 +1,6 @@
 //! Clients that go while their queries wait for a turn, with the word of it unread until the turn begins.
 
-use crate::rig::{ask, call, configuration, fleet, send, start, until};
+use crate::rig::{ask, call, configuration, fleet, send, until};
 use plover_load::Ask;
 use plover_standins::{Fault, Fleet, Plan, Program};
 use serde_json::json;
@@ -10,9 +10,9 @@
 /// Turns are so far apart that the program can be stopped between two of them.
 const TICK: Duration = Duration::from_millis(900);
 const READ: Duration = Duration::from_millis(50);
-/// A round counts if the program stood still before its turn. On a machine that is too loaded for that in so many rounds
-/// nothing is shown, and nothing fails.
-const ROUNDS: usize = 10;
+/// A round counts if the program stood still before its turn. So many have to count, of so many at most.
+const CONCLUSIVE: usize = 2;
+const ROUNDS: usize = 40;
 
 /// Data servers that answer at once, and a broker with slow turns.
 fn slow_turns(servers: usize) -> (Fleet, Program) {
@@ -48,6 +48,7 @@
     let attempts = |part: &str| fleet.books(|b| b.attempts().iter().filter(|a| a.id == part).count());
     // From here on there are connections to the data servers: what is sent goes out at once.
     ask(program.http1, &Ask::new("first", "lookup", &[0]));
+    let mut conclusive = 0;
     for round in 0..ROUNDS {
         let id = format!("r{round}");
         let client = send(program.http1, &Ask::new(&id, "lookup", &[0])).0;
@@ -63,10 +64,13 @@
         free(program);
         if in_time {
             assert_eq!(attempts(&part), before, "round {round}");
+            conclusive += 1;
+        }
+        if conclusive == CONCLUSIVE {
             return;
         }
     }
-    eprintln!("the program was never stopped before its turn");
+    panic!("only {conclusive} of {ROUNDS} rounds stopped the program before its turn: nothing is shown");
 }
 
 #[test]
@@ -89,11 +93,18 @@
 }
 
 /// A client that goes while its answer is on its way costs nothing further: what is out for it is given up, and the broker
-/// goes on.
+/// goes on. Each part has one attempt: aim and dials may take so long that none is overdue, however slow the machine is.
 #[test]
 fn a_client_that_goes_with_its_answer_on_the_way_leaves_nothing_behind() {
+    const LONG: f64 = 600_000.0;
     let fleet = fleet(Duration::ZERO);
-    let program = start(&fleet, "");
+    let mut configuration = configuration(&fleet);
+    configuration["settings"]["Allowed"]["DialTimeout"] = json!(BOUND.as_millis() as f64);
+    for class in configuration["settings"]["Services"].as_array_mut().unwrap() {
+        class["Aim"] = json!(LONG);
+        class["GiveUp"] = json!(LONG);
+    }
+    let program = Program::serve(crate::rig::exe(), &configuration, "", None).unwrap();
     for round in 0..50 {
         let client = send(program.http1, &Ask::new(format!("a{round}"), "lookup", &[0, 1, 2, 3])).0;
         while fleet.books(|b| b.attempts().iter().filter(|a| a.id.starts_with(&format!("a{round}."))).count())
@@ -104,10 +115,14 @@
         drop(client);
     }
     until(&program, "free", |f| f["outstanding"] == 0);
-    // A part may have had a further attempt on a slow machine, while its client waited.
     let begun = Instant::now();
     while fleet.books(|b| b.attempts().iter().any(|a| a.ended.is_none())) {
         assert!(begun.elapsed() < BOUND, "some are still out");
         std::thread::sleep(Duration::from_millis(1));
     }
+    fleet.books(|b| {
+        assert_eq!(b.attempts().len(), 200);
+        let violations = b.violations(plover_standins::books::Rules::default());
+        assert!(violations.is_empty(), "{violations:?}");
+    });
 }
--- a/crates/ploverport/tests/races/descriptors.rs
+++ b/crates/ploverport/tests/races/descriptors.rs
@@ -192,8 +192,7 @@
     last.set_nonblocking(false).unwrap();
     let mut answer = Vec::new();
     let _ = last.read_to_end(&mut answer);
-    // The final answer, which on a starved machine may be that the time is over; never a reset or silence.
-    assert!(answer.starts_with(b"HTTP/1.1 "), "{}", String::from_utf8_lossy(&answer));
+    assert!(answer.starts_with(b"HTTP/1.1 200"), "{}", String::from_utf8_lossy(&answer));
     assert!(program.exit().unwrap().success());
     drop(floods);
     let most = watched.most();
