A class's work stays known once it was: the last answer of a turn no longer decides

Seen: two of the new tests of best_density failed for a class whose answers all took 60 ms: after 2,000 answers its work was still a guess.

--- a/crates/brookbend/src/estimates/work.rs
+++ b/crates/brookbend/src/estimates/work.rs
@@ -33,7 +33,7 @@
     answers: u32,
     /// Whether the unit has come near what answers take. Until then it is a guess on its way there.
     known: bool,
-    /// How far it is known, up to QUICKER.
+    /// How far it is known: from QUICKER on.
     quicker: f64,
     /// By how much the guess has moved since that was last taken note of, and in all.
     moved: f64,
@@ -91,7 +91,7 @@
         if !self.known {
             self.moved *= step;
             let quicker = if elapsed < self.unit { 1.0 } else { -QUICKER_LOST };
-            self.quicker = (self.quicker + quicker).clamp(0.0, QUICKER);
+            self.quicker = (self.quicker + quicker).max(0.0);
         }
         self.unit *= step;
         // The call is half of it at the most: what is known of its work is a usual one's.
