Handshakes under way are completed before a listener ends; no client that came up is reset

Callers saw, now and then at a planned restart, a reset on a connection that had just come up, in place of an answer. Cause: the filter that shuts a listener dropped every segment, also the last one of a handshake and the request behind it (runtime::net::shut). It drops those alone that begin a connection now, and the listener is accepted from for 1 ms more.

--- a/crates/broker/src/front/mod.rs
+++ b/crates/broker/src/front/mod.rs
@@ -19,7 +19,8 @@
 use crate::inbox::Inbox;
 use async_channel::{Receiver, Sender};
 use async_executor::{LocalExecutor, Task};
-use async_io::Async;
+use async_io::{Async, Timer};
+use futures_lite::future;
 use http::header::{DATE, HeaderValue};
 use plover_admission::{Connection, budget};
 use plover_model::time::Micros;
@@ -106,15 +107,16 @@
         Listening { front, accepting: Some((task, listener)) }
     }
 
-    /// Takes what the system has accepted, and no more.
+    /// Takes what has come up or is about to, and lets nothing more begin: who has a connection by the listener's end, which
+    /// would reset it, is served.
     async fn close(&mut self, executor: &LocalExecutor<'static>) {
-        if let Some((task, listener)) = self.accepting.take() {
-            task.cancel().await;
-            accept::accept_waiting(&self.front, executor).await;
-            // None comes up between the last that is taken and the listener's end, which would reset it.
-            net::shut(&listener);
-            accept::accept_rest(&self.front, &listener, executor).await;
-        }
+        let Some((task, listener)) = self.accepting.take() else { return };
+        task.cancel().await;
+        accept::accept_waiting(&self.front, executor).await;
+        net::shut(&listener);
+        accept::accept_rest(&self.front, &listener, executor).await;
+        Timer::after(net::HANDSHAKE).await;
+        accept::accept_rest(&self.front, &listener, executor).await;
     }
 
     /// Accepts nothing further; what the system has accepted is left to whoever else holds the socket.
@@ -214,14 +216,19 @@
         if std::mem::replace(&mut self.closed, true) {
             return;
         }
-        match self.inherited {
-            // Whoever comes after us finds there what we do not take.
-            true => self.http1.leave(&self.executor).await,
-            false => self.http1.close(&self.executor).await,
-        }
-        if let Some(http2) = &mut self.http2 {
-            http2.close(&self.executor).await;
-        }
+        let http1 = async {
+            match self.inherited {
+                // Whoever comes after us finds there what we do not take.
+                true => self.http1.leave(&self.executor).await,
+                false => self.http1.close(&self.executor).await,
+            }
+        };
+        let http2 = async {
+            if let Some(http2) = &mut self.http2 {
+                http2.close(&self.executor).await;
+            }
+        };
+        future::zip(http1, http2).await;
         self.shared.set_stage(Stage::Closing);
         self.http1.front.close_idle();
     }
--- a/crates/ploverport/tests/operation/restart.rs
+++ b/crates/ploverport/tests/operation/restart.rs
@@ -177,7 +177,12 @@
     let (first, rest) = q.split_once("\r\n").unwrap();
     conn.write(format!("{first}\r\nX-Pad: ").as_bytes());
     leave(&mut program);
-    while TcpStream::connect(program.http1).is_ok() {
+    // One that is tried as the listener ends waits for the system to try again, and the request would not go on meanwhile.
+    let refused = || {
+        let tried = TcpStream::connect_timeout(&program.http1, Duration::from_millis(50));
+        tried.is_err_and(|e| e.kind() == ErrorKind::ConnectionRefused)
+    };
+    while !refused() {
         conn.write(b"a");
         std::thread::sleep(Duration::from_millis(5));
     }
@@ -342,3 +347,53 @@
     assert!(seen.late > 20, "{seen:?}");
     assert!(program.exit().unwrap().success());
 }
+
+/// Clients of one request for each connection.
+const ON_NEW_CONNECTIONS: usize = 16;
+
+impl Clients {
+    /// Asks once on each of many connections, until no more are taken.
+    async fn on_new_connections(&self, to: SocketAddr, name: String) {
+        let mut n = 0;
+        while let Ok(mut conn) = Http1::connect(to).await {
+            n += 1;
+            let id = format!("{name}-{n}");
+            match conn.send(&Ask::new(&id, "lookup", &[n % 8]).request()).await {
+                Ok(response) => self.answer(&id, &Answer::of(&response)),
+                Err(e) => {
+                    let after = self.signalled.borrow().map(|at| at.elapsed());
+                    self.seen.borrow_mut().wrong.push(format!("{id}: {e}, {after:?} after the signal"));
+                }
+            }
+        }
+    }
+}
+
+/// Guards against resets of connections that come up as the listener ends: each that comes up is answered.
+#[test]
+fn every_new_connection_through_a_restart_is_answered() {
+    let fleet = fleet(Duration::ZERO);
+    let mut program = start(&fleet, "");
+    let executor = LocalExecutor::new();
+    let clients = Rc::new(Clients { seen: RefCell::default(), signalled: RefCell::default() });
+    let to = program.http1;
+    run(executor.run(async {
+        let mut tasks = Vec::new();
+        for n in 0..ON_NEW_CONNECTIONS {
+            let clients = clients.clone();
+            tasks.push(executor.spawn(async move { clients.on_new_connections(to, format!("c{n}")).await }));
+        }
+        while clients.seen.borrow().answered < 100 {
+            Timer::after(Duration::from_millis(1)).await;
+        }
+        program.signal("TERM").unwrap();
+        *clients.signalled.borrow_mut() = Some(Instant::now());
+        for task in tasks {
+            task.await;
+        }
+    }));
+    let seen = clients.seen.borrow();
+    assert!(seen.wrong.is_empty(), "{seen:?}");
+    assert!(seen.late > ON_NEW_CONNECTIONS, "{seen:?}");
+    assert!(program.exit().unwrap().success());
+}
--- a/crates/runtime/src/net.rs
+++ b/crates/runtime/src/net.rs
@@ -55,14 +55,33 @@
     Async::new(socket.into())
 }
 
-/// Lets no further connection come up, before a listener of ours alone is dropped: the system would reset those that come
-/// up after the last one was accepted. Where it is not offered, these are refused so.
+/// Lets no further connection begin, before a listener of ours alone is dropped: the system would reset those that come up
+/// after the last one was accepted. Handshakes that have begun are completed, so that the listener is accepted from for
+/// [`HANDSHAKE`] more.
+///
+/// Linux alone has this filter. Elsewhere, or where the system refuses it, connections go on coming up until the listener is
+/// dropped, and those that were not accepted are reset then.
 pub fn shut(listener: &Async<TcpListener>) {
-    /// The program of one instruction that passes no packet (BPF_RET | BPF_K, of no bytes).
-    const NOTHING: [SockFilter; 1] = [SockFilter::new(0x06, 0, 0, 0)];
-    let _ = SockRef::from(listener.get_ref()).attach_filter(&NOTHING);
+    let _ = SockRef::from(listener.get_ref()).attach_filter(&NO_SYN);
 }
 
+/// A handshake that has begun is over, on a sound network, within this time. Who connects in it is refused only as its system
+/// tries again, a second later, so that it is short.
+pub const HANDSHAKE: Duration = Duration::from_millis(1);
+
+/// A classic BPF program over a segment's TCP header that drops those which begin a connection. To drop others too would drop
+/// the last segment of a handshake, and what its client has sent behind it: the client takes itself for connected.
+const NO_SYN: [SockFilter; 4] = [
+    // BPF_LD | BPF_B | BPF_ABS: the byte of the flags.
+    SockFilter::new(0x30, 0, 0, 13),
+    // BPF_JMP | BPF_JSET | BPF_K: with SYN among them go on, else skip one.
+    SockFilter::new(0x45, 0, 1, 0x02),
+    // BPF_RET | BPF_K: drop it.
+    SockFilter::new(0x06, 0, 0, 0),
+    // BPF_RET | BPF_K: pass all of it.
+    SockFilter::new(0x06, 0, 0, u32::MAX),
+];
+
 /// Appends what the socket has, waiting until there is something; 0: the peer has closed. Nothing is taken from
 /// the socket unless this returns, so that it may be dropped while it waits.
 ///
