Only what was forecast of the broker's own time is left out of an answer's time

Cause: all of the time in which the thread was busy was taken from each answer's, so that paces came out lower than choice among servers is tuned to.

--- a/crates/brookbend/src/own.rs
+++ b/crates/brookbend/src/own.rs
@@ -30,9 +30,11 @@
         self.own = OwnTime { part: sound(own.part), turn: sound(own.turn), busy: sound(own.busy) };
     }
 
-    /// The least time that the server of an attempt can have taken: while this aggregator was busy, the answer may have waited.
+    /// The least time that the server of an attempt can have taken: while this aggregator was busy the answer may have waited, and
+    /// for as long as that was forecast it counts as this aggregator's own time.
     pub(crate) fn least_time(&self, flight: &Flight, elapsed: Ms) -> Ms {
-        (elapsed - (self.own.busy - flight.busy).max(0.0)).max(0.0)
+        let own = flight.expected - flight.forecast;
+        (elapsed - (self.own.busy - flight.busy).min(own).max(0.0)).max(0.0)
     }
 
     /// The time that the server of an attempt took, as far as it is known: as was forecast, within what is possible.
