A seeded soak of restarts: signals in series, the kill at its earliest, crowds

The drawn scripts of trials restart a broker and wait. Script::draw_restarts restarts 1 to 8 brokers in turn under clients that use their connections until SIGKILL, which comes 3.7 s after SIGTERM; deadlines of 0.4 to 3 s, SIGHUPs within milliseconds of which some are faulty, SIGTERM and SIGHUP again while a broker ends, brokers held up for 150 ms, idle crowds over 256 descriptors, most brokers killed at once, and the troubles of the drawn scripts. A run that judges too little says so. Not in it: clients in pieces or ahead, HTTP/2, memory over rounds.

--- a/crates/ploverport/tests/trial/drawn.rs
+++ b/crates/ploverport/tests/trial/drawn.rs
@@ -7,7 +7,7 @@
 use plover_trial::rules::{Verdict, judged};
 use plover_trial::{Script, Setup, Shape, trial};
 
-fn number(name: &str, usual: u64) -> u64 {
+pub(crate) fn number(name: &str, usual: u64) -> u64 {
     std::env::var(name).ok().and_then(|v| v.parse().ok()).unwrap_or(usual)
 }
 
--- a/crates/ploverport/tests/trial/fleet.rs
+++ b/crates/ploverport/tests/trial/fleet.rs
@@ -6,7 +6,7 @@
 use plover_trial::script::{Act, Fault, Link, Sight, State, Step, Trouble, Way, What};
 use plover_trial::{Report, Script, Setup, trial};
 use std::path::{Path, PathBuf};
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 /// More plays of a trial that fails, to make its script shorter.
@@ -19,9 +19,13 @@
 }
 
 /// One trial at a time: they share the machine.
-fn played(setup: &Setup, script: &Script) -> Report {
+pub(crate) fn alone() -> MutexGuard<'static, ()> {
     static ONE: Mutex<()> = Mutex::new(());
-    let _one = ONE.lock().unwrap_or_else(PoisonError::into_inner);
+    ONE.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn played(setup: &Setup, script: &Script) -> Report {
+    let _one = alone();
     let report = trial(setup, script, TRIES).unwrap();
     assert!(report.is_kept(), "{report}");
     let (judged, all) = judged(&report.record, &setup.rules);
--- a/crates/ploverport/tests/trial/main.rs
+++ b/crates/ploverport/tests/trial/main.rs
@@ -2,3 +2,4 @@
 
 mod drawn;
 mod fleet;
+mod soak;
--- a/crates/trial/src/clients.rs
+++ b/crates/trial/src/clients.rs
@@ -78,6 +78,8 @@
     pub(crate) widest: usize,
     /// Queries a second, first tries alone.
     pub(crate) rate: f64,
+    /// How long a client waits, at the least and at the most.
+    pub(crate) patience: (Micros, Micros),
     pub(crate) seed: u64,
     pub(crate) events: Mutex<Vec<Event>>,
 }
@@ -125,7 +127,8 @@
         let parts = [random.random_range(1..=3), 1, self.widest][class].min(self.shards);
         let first = random.random_range(0..self.shards);
         let shards = (0..parts).map(|p| (first + p) % self.shards).collect();
-        let until = self.clock.now() + random.random_range(1500..4000) * MILLI;
+        let until =
+            self.clock.now() + random.random_range(self.patience.0 / MILLI..self.patience.1 / MILLI) * MILLI;
         Want { name: format!("{:04x}{n:06x}", self.seed & 0xffff), class, shards, until }
     }
 
--- a/crates/trial/src/draw.rs
+++ b/crates/trial/src/draw.rs
@@ -31,12 +31,12 @@
 }
 
 /// A time of whole milliseconds.
-fn time(random: &mut ChaCha8Rng, from: Micros, to: Micros) -> Micros {
+pub(crate) fn time(random: &mut ChaCha8Rng, from: Micros, to: Micros) -> Micros {
     let (from, to) = (from / MILLI, (to / MILLI).max(from / MILLI + 1));
     random.random_range(from..to) * MILLI
 }
 
-fn trouble(random: &mut ChaCha8Rng, shape: Shape, steps: &mut Vec<Step>) {
+pub(crate) fn trouble(random: &mut ChaCha8Rng, shape: Shape, steps: &mut Vec<Step>) {
     let half = shape.long / 2;
     let at = time(random, 100 * MILLI, half);
     let span = time(random, 100 * MILLI, half - half / 8);
--- a/crates/trial/src/lib.rs
+++ b/crates/trial/src/lib.rs
@@ -14,6 +14,7 @@
 mod play;
 pub mod record;
 mod relay;
+mod restarts;
 pub mod rules;
 pub mod script;
 mod setup;
--- a/crates/trial/src/play.rs
+++ b/crates/trial/src/play.rs
@@ -1,5 +1,7 @@
 //! Plays a script on real processes and records what is seen.
 
+mod signals;
+
 use crate::broker::{Broker, Phase, is_ready, prepare, start};
 use crate::clients::{Clients, Door, Entrance};
 use crate::clock::{Clock, Heart, Waits};
@@ -22,6 +24,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::sync::mpsc;
+use tokio::task::JoinSet;
 
 /// How often processes are looked at.
 const LOOK: Duration = Duration::from_millis(20);
@@ -59,6 +62,8 @@
     Show(u64),
     /// A front has noticed, if the broker's start is still that one.
     Door(usize, u64, Door),
+    /// A broker's time to end is over, likewise.
+    Expire(usize, u64),
 }
 
 /// What a start has come to.
@@ -87,6 +92,10 @@
     waits: Waits,
     /// When the waits are looked at next.
     waits_due: Micros,
+    /// Counts configurations that replaced another.
+    reloads: u64,
+    /// Clients that ask nothing; they go with the play.
+    crowds: JoinSet<()>,
 }
 
 /// A directory for the state of all brokers; it goes with the trial.
@@ -144,7 +153,7 @@
             cells: setup.cells,
             shards: setup.shards,
             max_open: usual.max_open.max(20 * setup.shards),
-            sockets: usual.sockets.max(4 * setup.servers),
+            sockets: setup.sockets.max(4 * setup.servers),
             ..usual
         };
         let mut brokers = Vec::new();
@@ -181,6 +190,7 @@
             shards: setup.shards,
             widest: setup.widest,
             rate: setup.rate,
+            patience: setup.patience,
             seed: setup.seed,
             events: Mutex::default(),
         };
@@ -202,6 +212,8 @@
             files,
             waits: Waits::default(),
             waits_due: 0,
+            reloads: 0,
+            crowds: JoinSet::new(),
         })
     }
 
@@ -284,8 +296,9 @@
                 entrance
             })
             .collect();
-        let Clients { shards, widest, rate, seed, .. } = *self.clients;
-        Clients { clock: self.clock, entrances, shards, widest, rate, seed, events: Mutex::default() }
+        let Clients { shards, widest, rate, patience, seed, .. } = *self.clients;
+        let (clock, events) = (self.clock, Mutex::default());
+        Clients { clock, entrances, shards, widest, rate, patience, seed, events }
     }
 
     fn saw(&mut self, seen: Seen) {
@@ -326,7 +339,8 @@
             Todo::Door(n, start, door) if self.brokers[n].start == start => {
                 self.clients.entrances[n].set(door);
             }
-            Todo::Cure(..) | Todo::Show(_) | Todo::Door(..) => {}
+            Todo::Expire(n, start) if self.brokers[n].start == start => self.expire(n)?,
+            Todo::Cure(..) | Todo::Show(_) | Todo::Door(..) | Todo::Expire(..) => {}
         }
         Ok(())
     }
@@ -379,7 +393,13 @@
                 self.brokers[n].signal(Signal::TERM)?;
                 self.brokers[n].phase = Phase::Ending(0, state);
                 self.plan(now + NOTICES.1, Todo::Door(n, start, Door::Kept));
+                if let Some(after) = self.setup.kill_after {
+                    self.plan(now + after, Todo::Expire(n, start));
+                }
             }
+            (Act::Terminate, Phase::Ending(..)) => self.brokers[n].signal(Signal::TERM)?,
+            (Act::Reload(reload), Phase::Up | Phase::Ending(..)) => self.reload(n, reload)?,
+            (Act::Crowd(clients), Phase::Up) => self.crowd(n, clients),
             // Not there, or there already.
             _ => {}
         }
@@ -468,7 +488,9 @@
                     self.saw(Seen::Broker { broker: n, life: Life::Crashed });
                     self.gone(n);
                 }
-                (Phase::Ending(looks, state), None) if looks < PATIENCE => {
+                (Phase::Ending(looks, state), None)
+                    if looks < PATIENCE || self.setup.kill_after.is_some() =>
+                {
                     broker.phase = Phase::Ending(looks + 1, state);
                 }
                 (Phase::Ending(_, state), None) => {
--- a/crates/trial/src/record.rs
+++ b/crates/trial/src/record.rs
@@ -117,6 +117,11 @@
         /// What became of it.
         life: Life,
     },
+    /// Clients that ask nothing have connected, and stay to the end.
+    Crowded {
+        /// The broker.
+        broker: usize,
+    },
     /// A link is no longer whole, until then.
     Faulty {
         /// The link.
@@ -192,6 +197,8 @@
     Killed,
     /// It was told to end.
     Told,
+    /// It was killed, since the time that it had to end was over.
+    Expired,
     /// It was stopped.
     Stopped,
     /// It was continued.
--- a/crates/trial/src/rules/answers.rs
+++ b/crates/trial/src/rules/answers.rs
@@ -34,6 +34,12 @@
     (judged, index.queries.len())
 }
 
+/// How many queries are judged that came soon after their broker had been told to end.
+pub(super) fn judged_after_told(index: &Index<'_>) -> usize {
+    let owed = |query: &&Query<'_>| index.is_owed_after_told(query.asked.broker, query.at);
+    index.queries.values().filter(owed).filter(|query| time_up(index, query).is_some()).count()
+}
+
 /// When a client's time is up, as its broker can know it. `None`: it need not have been answered.
 fn time_up(index: &Index<'_>, query: &Query<'_>) -> Option<Micros> {
     let broker = query.asked.broker;
@@ -91,6 +97,7 @@
         (None, Some((at, Seen::Lost { port, fresh, .. }))) => {
             match index.closer(broker, *port, query.at).unwrap_or(Closer::Broker) {
                 Closer::Unreached | Closer::Fault => {}
+                Closer::Broker if *fresh && !sent(*at) && index.is_crowded(broker, *at) => {}
                 Closer::Broker if *fresh && !sent(*at) => dropped.push((*at, id)),
                 Closer::Broker | Closer::Client => {
                     let words = format!("{id} lost its connection to b{broker} without an answer");
--- a/crates/trial/src/rules/index.rs
+++ b/crates/trial/src/rules/index.rs
@@ -17,6 +17,8 @@
     lives: BTreeMap<usize, Vec<(Micros, Life)>>,
     faults: BTreeMap<Link, Vec<LinkFault>>,
     closed: BTreeMap<(usize, u16), Vec<(Micros, Closer)>>,
+    /// Brokers whose descriptors clients that ask nothing have taken, and since when.
+    crowded: BTreeMap<usize, Micros>,
 }
 
 pub(super) struct Query<'a> {
@@ -54,6 +56,7 @@
             lives: BTreeMap::new(),
             faults: BTreeMap::new(),
             closed: BTreeMap::new(),
+            crowded: BTreeMap::new(),
         };
         for event in record.events() {
             if let Seen::Asked(asked) = &event.seen {
@@ -98,6 +101,7 @@
                 self.attempts.push(Sent { at, attempt, broker });
             }
             Seen::Broker { broker, life } => self.lives.entry(*broker).or_default().push((at, *life)),
+            Seen::Crowded { broker } => _ = self.crowded.entry(*broker).or_insert(at),
             Seen::Faulty { link, until, lasting } => {
                 let fault = LinkFault { from: at, until: *until, lasting: *lasting };
                 self.faults.entry(*link).or_default().push(fault);
@@ -119,6 +123,11 @@
         self.faults.get(&link).is_some_and(|f| f.iter().any(|f| f.lasting && f.from <= to && f.until >= from))
     }
 
+    /// Whether a broker has a crowd at that moment: it may shut new connections unread.
+    pub(super) fn is_crowded(&self, broker: usize, at: Micros) -> bool {
+        self.crowded.get(&broker).is_some_and(|since| *since <= at)
+    }
+
     /// Who closed a client's connection that was in use at that moment.
     pub(super) fn closer(&self, broker: usize, port: u16, at: Micros) -> Option<Closer> {
         if port == 0 {
@@ -134,17 +143,35 @@
         for (when, life) in self.lives(broker).take_while(|(when, _)| *when <= at) {
             match life {
                 Life::Started => started = Some(when),
-                Life::Killed | Life::Ended | Life::Crashed => started = None,
+                Life::Killed | Life::Expired | Life::Ended | Life::Crashed => started = None,
                 Life::Told | Life::Stopped | Life::Continued => {}
             }
         }
         started
     }
 
-    /// Whether a broker was killed, or crashed, between these.
+    /// Whether a broker was killed, or crashed, between these. The kill at the end of the time that it had to end counts only
+    /// for what came too late to be owed an answer before it.
     pub(super) fn cut_short(&self, broker: usize, from: Micros, to: Micros) -> bool {
-        let ends = |life| matches!(life, Life::Killed | Life::Crashed);
-        self.lives(broker).any(|(at, life)| ends(life) && from <= at && at <= to)
+        let ends = |at, life| match life {
+            Life::Killed | Life::Crashed => true,
+            Life::Expired => {
+                self.told(broker, at).is_none_or(|told| from > told + self.rules.owed_after_told)
+            }
+            _ => false,
+        };
+        self.lives(broker).any(|(at, life)| from <= at && at <= to && ends(at, life))
+    }
+
+    /// Whether a broker had been told to end at that moment, and so lately that what comes is owed its answer.
+    pub(super) fn is_owed_after_told(&self, broker: usize, at: Micros) -> bool {
+        self.told(broker, at).is_some_and(|told| at <= told + self.rules.owed_after_told)
+    }
+
+    /// When a broker was last told to end by that moment.
+    fn told(&self, broker: usize, by: Micros) -> Option<Micros> {
+        let told = self.lives(broker).take_while(|(at, _)| *at <= by).filter(|(_, life)| *life == Life::Told);
+        told.last().map(|(at, _)| at)
     }
 
     /// A moment, or when the broker was continued if it was stopped then; `None`: it never was.
--- a/crates/trial/src/rules/mod.rs
+++ b/crates/trial/src/rules/mod.rs
@@ -27,6 +27,8 @@
     pub slack: Micros,
     /// Nothing new goes to a data server for longer than this after its drain is told.
     pub drain_grace: Micros,
+    /// What comes within this time after a broker was told to end is owed its answer before the kill.
+    pub owed_after_told: Micros,
     /// Nothing new goes out for a client longer than this after it has gone.
     pub gone_grace: Micros,
     /// What a silent watch misses counts as told so long after the silence began.
@@ -73,6 +75,7 @@
             second_copies: false,
             slack: 50 * MILLI,
             drain_grace: 250 * MILLI,
+            owed_after_told: 700 * MILLI,
             gone_grace: 100 * MILLI,
             silence: 6 * SECOND,
             after_wait: 2 * SECOND,
@@ -182,6 +185,11 @@
     answers::judged(&Index::new(record, rules))
 }
 
+/// How many queries are judged that came soon after their broker had been told to end.
+pub fn judged_after_told(record: &Record, rules: &Rules) -> usize {
+    answers::judged_after_told(&Index::new(record, rules))
+}
+
 /// Judges a trial; where the machine kept the rig waiting for longer than the bound, by the rules alone that have nothing
 /// to do with its speed.
 pub fn judge(record: &Record, rules: &Rules, bound: Micros) -> Verdict {
--- a/crates/trial/src/script.rs
+++ b/crates/trial/src/script.rs
@@ -96,6 +96,21 @@
     Start(State),
     /// SIGTERM, and a start once it has ended; SIGKILL where it does not end in time.
     Restart(State),
+    /// SIGTERM once more, while it ends.
+    Terminate,
+    /// SIGHUP, with another configuration in place.
+    Reload(Reload),
+    /// So many clients connect and ask nothing.
+    Crowd(usize),
+}
+
+/// A configuration that is there at a SIGHUP.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reload {
+    /// Other aims and descriptors, by turns.
+    Other,
+    /// One that cannot be read.
+    Faulty,
 }
 
 /// What is done to a data server.
@@ -303,6 +318,10 @@
             What::Broker(n, Act::Continue) => write!(f, "b{n} continue"),
             What::Broker(n, Act::Start(state)) => write!(f, "b{n} start {state}"),
             What::Broker(n, Act::Restart(state)) => write!(f, "b{n} restart {state}"),
+            What::Broker(n, Act::Terminate) => write!(f, "b{n} terminate"),
+            What::Broker(n, Act::Reload(Reload::Other)) => write!(f, "b{n} reload other"),
+            What::Broker(n, Act::Reload(Reload::Faulty)) => write!(f, "b{n} reload faulty"),
+            What::Broker(n, Act::Crowd(clients)) => write!(f, "b{n} crowd {clients}"),
             What::Server(n, Trouble::Kill) => write!(f, "s{n} kill"),
             What::Server(n, Trouble::Revive) => write!(f, "s{n} revive"),
             What::Server(n, Trouble::Drain) => write!(f, "s{n} drain"),
@@ -374,6 +393,13 @@
             (Node::Broker(n), ["kill"]) => What::Broker(n, Act::Kill),
             (Node::Broker(n), ["stop"]) => What::Broker(n, Act::Stop),
             (Node::Broker(n), ["continue"]) => What::Broker(n, Act::Continue),
+            (Node::Broker(n), ["terminate"]) => What::Broker(n, Act::Terminate),
+            (Node::Broker(n), ["reload", "other"]) => What::Broker(n, Act::Reload(Reload::Other)),
+            (Node::Broker(n), ["reload", "faulty"]) => What::Broker(n, Act::Reload(Reload::Faulty)),
+            (Node::Broker(n), ["crowd", clients]) => {
+                let clients = clients.parse().map_err(|_| format!("{clients:?} is no number of clients"))?;
+                What::Broker(n, Act::Crowd(clients))
+            }
             (Node::Broker(n), ["start", state @ ..]) => What::Broker(n, Act::Start(state_of(state)?)),
             (Node::Broker(n), ["restart", state @ ..]) => What::Broker(n, Act::Restart(state_of(state)?)),
             (Node::Server(n), ["kill"]) => What::Server(n, Trouble::Kill),
--- a/crates/trial/src/setup.rs
+++ b/crates/trial/src/setup.rs
@@ -24,6 +24,13 @@
     pub work: Duration,
     /// Parts that a data server works on at once; others wait. 0: all.
     pub cores: usize,
+    /// Descriptors of a broker.
+    pub sockets: usize,
+    /// How long clients wait, at the least and at the most.
+    pub patience: (Micros, Micros),
+    /// SIGKILL follows SIGTERM after this time; `None`: where a broker does not end in the longest time that it may take, as
+    /// far as the machine ran.
+    pub kill_after: Option<Micros>,
     /// How long the load lasts.
     pub long: Micros,
     /// Queries a second of all clients together, without retries.
@@ -54,6 +61,9 @@
             widest: 4,
             work: Duration::from_millis(10),
             cores: 0,
+            sockets: 1024,
+            patience: (1500 * MILLI, 4000 * MILLI),
+            kill_after: None,
             long: 4 * SECOND,
             rate: 60.0,
             operator: String::new(),
--- a/crates/trial/tests/rules.rs
+++ b/crates/trial/tests/rules.rs
@@ -90,6 +90,30 @@
     Story::new()
 }
 
+/// Guards against a request that came soon after SIGTERM and is not answered when SIGKILL comes: that kill excuses it not.
+#[test]
+fn what_came_soon_after_the_signal_is_answered_before_the_kill() {
+    let told = |ms| s().life(100, 0, Life::Told).asks(ms, "q");
+    let killed = |story: Story| story.life(1000, 0, Life::Expired).lost(1000, "q", false, Closer::Broker);
+    killed(told(799)).breaks_only(Rule::Answered);
+    killed(told(801)).keeps();
+    killed(s().asks(50, "q").life(100, 0, Life::Told)).breaks_only(Rule::Answered);
+    told(799).refused(900, "q").life(1000, 0, Life::Expired).keeps();
+}
+
+/// New connections may be shut unread where a crowd has taken the descriptors, and only then.
+#[test]
+fn a_crowd_excuses_new_connections_alone() {
+    let crowd = || s().saw(5, Seen::Crowded { broker: 0 }).asks(10, "q");
+    crowd().lost(50, "q", true, Closer::Broker).keeps();
+    crowd().lost(50, "q", false, Closer::Broker).breaks_only(Rule::Answered);
+    crowd().works(20, "q").lost(50, "q", true, Closer::Broker).breaks_only(Rule::Answered);
+    s().asks(10, "q")
+        .saw(60, Seen::Crowded { broker: 0 })
+        .lost(50, "q", true, Closer::Broker)
+        .breaks_only(Rule::Answered);
+}
+
 #[test]
 fn a_query_that_was_taken_is_answered() {
     s().asks(0, "q").works(10, "q").answered(50, "q", true, 4).keeps();
--- a/crates/trial/tests/scripts.rs
+++ b/crates/trial/tests/scripts.rs
@@ -26,6 +26,13 @@
         }
     }
 
+    #[test]
+    fn restarts_that_are_drawn_are_read_back_and_the_same_each_time(seed: u64) {
+        let script = Script::draw_restarts(seed, SHAPE);
+        prop_assert_eq!(script.to_string().parse::<Script>().unwrap(), script.clone());
+        prop_assert_eq!(&script, &Script::draw_restarts(seed, SHAPE));
+    }
+
     /// Whatever the line: a step or a clear word, never a panic.
     #[test]
     fn any_text_is_read_or_refused(text in "([0-9]{1,21}|b|s|>|ms|us| |clients|discovery|kill|stall|both|\n|#){0,24}") {
