A server that answered late over its old connection is no longer taken for restarted

What callers saw: after a spell in which servers answered later than the aim, parts stayed unsent for up to the time that a server needs to be warm (10 s), with idle servers: of a query of 200 parts 187 or 144 + 8 were sent, the rest waited till the query was refused.

Cause: `judge` in choice.rs. An attempt that times out marks its server as silent, and the next answer after 2.5 aims without one counts as that of a process that has just started, whose allowance at one of 1,600 brokers is next to nothing. Slow and restarted looked the same.

Change: the broker tells since when the connection is up that brought an answer. A process that restarts loses its connections, so one that answers over a connection from before its last answer has not restarted; else it started no later than the connection came up. Without that news (simulator's adapter, load reports) all is as it was.

Tests: a_server_that_answers_over_a_connection_from_before_its_silence_did_not_restart (its first half is the old behaviour's failure: the same play without the news gets its cold allowance alone, as long_silence_is_a_restart_and_a_short_one_is_not still shows); the_time_of_an_answer_begins_once_its_connection_is_up now looks at the news as well.

--- a/crates/broker/src/queries/tests.rs
+++ b/crates/broker/src/queries/tests.rs
@@ -49,7 +49,7 @@
 }
 
 fn end(queries: &mut Queries, now: Micros, attempt: AttemptId, outcome: Outcome) {
-    queries.ended(now, &mut Ended { attempt, outcome, elapsed: 0, load: None, value: None });
+    queries.ended(now, &mut Ended { attempt, outcome, elapsed: 0, load: None, connected: None, value: None });
 }
 
 /// Data servers drop no repeats of such a class, whatever window another class has: what may have run is not run again
--- a/crates/broker/src/room/tests.rs
+++ b/crates/broker/src/room/tests.rs
@@ -127,12 +127,14 @@
             outcome: Outcome::NotSent,
             elapsed: 0,
             load: None,
+            connected: None,
         });
         let served = served.into_iter().map(|e| Report {
             attempt: e.attempt,
             outcome: e.outcome,
             elapsed: e.elapsed,
             load: None,
+            connected: None,
         });
         let reports = never.chain(served).collect();
         self.core.report(self.now, reports).finals
@@ -246,7 +248,8 @@
     rig.go(&fitted);
     // Its server is its shard's only one: it would be asked again while attempts are left.
     rig.now += 5000;
-    let report = Report { attempt: lacked, outcome: Outcome::NotSent, elapsed: 0, load: None };
+    let report =
+        Report { attempt: lacked, outcome: Outcome::NotSent, elapsed: 0, load: None, connected: None };
     let decisions = rig.core.report(rig.now, vec![report]);
     let again: Vec<AttemptId> = decisions.dispatches.iter().map(|d| d.attempt).collect();
     assert_eq!(again, [AttemptId { attempt: 1, ..lacked }]);
@@ -261,7 +264,13 @@
         .core
         .report(
             rig.now,
-            vec![Report { attempt: again[0], outcome: Outcome::NotSent, elapsed: 0, load: None }],
+            vec![Report {
+                attempt: again[0],
+                outcome: Outcome::NotSent,
+                elapsed: 0,
+                load: None,
+                connected: None,
+            }],
         )
         .finals;
     assert!(
--- a/crates/broker/src/turns.rs
+++ b/crates/broker/src/turns.rs
@@ -341,7 +341,13 @@
         ended.extend(self.upstream.take_ended(now));
         let report = |mut e: Ended| {
             self.queries.ended(now, &mut e);
-            Report { attempt: e.attempt, outcome: e.outcome, elapsed: e.elapsed, load: e.load }
+            Report {
+                attempt: e.attempt,
+                outcome: e.outcome,
+                elapsed: e.elapsed,
+                load: e.load,
+                connected: e.connected,
+            }
         };
         ended.into_iter().map(report).collect()
     }
@@ -409,5 +415,5 @@
 }
 
 fn never_sent(attempt: AttemptId) -> Ended {
-    Ended { attempt, outcome: Outcome::NotSent, elapsed: 0, load: None, value: None }
+    Ended { attempt, outcome: Outcome::NotSent, elapsed: 0, load: None, connected: None, value: None }
 }
--- a/crates/broker/src/upstream/endings.rs
+++ b/crates/broker/src/upstream/endings.rs
@@ -83,18 +83,23 @@
             conn.remove(attempt);
             conn.used = now;
         });
-        let elapsed = match outcome {
-            Outcome::Served => self.served_in(now, &flight),
-            _ => now.saturating_sub(flight.sent),
+        let (elapsed, connected) = match outcome {
+            Outcome::Served => (self.served_in(now, &flight), self.connected(&flight)),
+            _ => (now.saturating_sub(flight.sent), None),
         };
-        self.ended.push(Ended { attempt, outcome, elapsed, load, value });
+        self.ended.push(Ended { attempt, outcome, elapsed, load, connected, value });
     }
 
     /// How long the server of an attempt had it. The time until its connection was up tells nothing of how fast its server
     /// works: hundreds of connections of a first wide query come up one after another.
     fn served_in(&self, now: Micros, flight: &Flight) -> Micros {
-        let up_at = self.conns.get(&flight.conn).map_or(0, |conn| conn.line.up_at());
-        now.saturating_sub(flight.sent.max(up_at))
+        now.saturating_sub(flight.sent.max(self.connected(flight).unwrap_or(0)))
+    }
+
+    /// Since when the connection of an attempt is up.
+    fn connected(&self, flight: &Flight) -> Option<Micros> {
+        let up_at = self.conns.get(&flight.conn)?.line.up_at();
+        (up_at > 0).then_some(up_at)
     }
 
     /// Takes news of a connection.
--- a/crates/broker/src/upstream/mod.rs
+++ b/crates/broker/src/upstream/mod.rs
@@ -67,6 +67,8 @@
     pub elapsed: Micros,
     /// How much the server said it holds.
     pub load: Option<f64>,
+    /// Of one that was served: since when the connection is up that brought the answer.
+    pub connected: Option<Micros>,
     /// The value, if it was served.
     pub value: Option<String>,
 }
@@ -221,6 +223,7 @@
                 outcome,
                 elapsed: 0,
                 load: None,
+                connected: None,
                 value: None,
             };
             return self.ended.extend(parts.into_iter().map(never));
--- a/crates/broker/src/upstream/tests.rs
+++ b/crates/broker/src/upstream/tests.rs
@@ -72,8 +72,10 @@
     pool.hear(101_000, 0, answer("q1.0"));
     pool.dispatch(200_000, sends(2, 1));
     pool.hear(230_000, 0, answer("q2.0"));
-    let elapsed: Vec<Micros> = pool.take_ended(230_000).iter().map(|ended| ended.elapsed).collect();
+    let ended = pool.take_ended(230_000);
+    let elapsed: Vec<Micros> = ended.iter().map(|ended| ended.elapsed).collect();
     assert_eq!(elapsed, [20_000, 30_000]);
+    assert!(ended.iter().all(|ended| ended.connected == Some(81_000)));
 }
 
 /// A server may close a connection right after its answer: the one that rested longest is the safest.
--- a/crates/brookbend/src/api.rs
+++ b/crates/brookbend/src/api.rs
@@ -297,6 +297,16 @@
         /// late or untrue.
         load: Option<f64>,
     },
+    /// The next end of this attempt is an answer over a connection that is up since then. A server that restarts loses its
+    /// connections, so that one process has run there all the while.
+    Connected {
+        /// The part.
+        part: RequestId,
+        /// Which of the part's attempts, from 0.
+        attempt: u32,
+        /// Since when.
+        since: Ms,
+    },
     /// The client has left; nothing more is owed.
     Gone(RequestId),
     /// No attempt at this part can be sent any more: its query is to do without it.
--- a/crates/brookbend/src/choice.rs
+++ b/crates/brookbend/src/choice.rs
@@ -35,7 +35,7 @@
 const ERROR_AIM: f64 = 0.5;
 
 /// Weight of one new outcome in a server's pace and error share: about the last five count.
-const NEWS: f64 = 0.2;
+pub(crate) const NEWS: f64 = 0.2;
 /// Weight of an answer that took OVERDUE times its forecast: a broker that meets a server every few seconds
 /// would else go on sending to a filled one for a minute.
 const SLOW_NEWS: f64 = 0.3;
@@ -63,7 +63,7 @@
 
 /// An attempt is overdue at this many times its forecast, and this share of its class's aim: sooner, copies
 /// double work that only queues, and blame its server.
-const OVERDUE: f64 = 3.0;
+pub(crate) const OVERDUE: f64 = 3.0;
 const OVERDUE_AIM: f64 = 0.25;
 /// A second copy goes once the attempt is late by this many times the copy's own forecast: late against its
 /// own forecast, or the copy's if that is less, since an attempt at a slow server is not waited for.
@@ -196,6 +196,11 @@
                 Event::Ended { part, attempt, outcome, elapsed, load } => {
                     self.ended(part, attempt, outcome, elapsed, load)
                 }
+                Event::Connected { part, attempt, since } => {
+                    if let Some(flight) = self.desk.flights.get_mut(&(part, attempt)) {
+                        flight.connected = Some(since);
+                    }
+                }
                 Event::Gone(id) => {
                     if let Some(q) = self.desk.queries.remove(&id) {
                         self.learned[q.class].patience.note_unserved(q.asked);
@@ -625,7 +630,8 @@
         s.note_sent(self.now, at_cold, self.set.cold.fall_after);
         let (class, scale, ahead) = (q.class, self.learned[q.class].work.scale(), others + s.work_out);
         let (sent, busy) = (self.now, self.own.busy);
-        let flight = Flight { server, class, work, ahead, scale, sent, busy, forecast, expected };
+        let connected = None;
+        let flight = Flight { server, class, work, ahead, scale, sent, busy, connected, forecast, expected };
         let piece = &mut q.pieces[i];
         self.desk.flights.insert((piece.id.clone(), piece.tries.len() as u32), flight);
         piece.tries.push(Try { server, sent: self.now, expected, outcome: None, took: 0.0 });
@@ -835,23 +841,6 @@
         self.close_try(&part, attempt, outcome);
     }
 
-    /// A server's report of what it holds shows what others have out there. It is late and may be untrue: it
-    /// fills a few aims at most, drains with time, and no rule rests on it.
-    fn hear_load(&mut self, f: &Flight, load: Option<f64>) {
-        let Some(held) = load else { return };
-        let most = OVERDUE * self.shortest_aim / self.fleet_pace.max(NEWS);
-        let s = &mut self.fleet.servers[f.server];
-        if s.others.is_new(held) {
-            let others = (held - s.flying.len() as f64).max(0.0);
-            s.others.set((others * self.learned[f.class].work.unit()).min(most), self.now);
-        }
-    }
-
-    /// Work of others at a server, as reported.
-    fn others(&self, s: &Server) -> Ms {
-        s.others.at(self.now, s.pace.told())
-    }
-
     pub(crate) fn landed(&mut self, f: &Flight, outcome: Outcome, elapsed: Ms) {
         let silent = self.fleet.servers[f.server].went_silent;
         self.judge(f, outcome, elapsed);
@@ -866,10 +855,7 @@
         let jitter = 0.75 + 0.5 * self.dice.random();
         let (least, likely) = (self.least_time(f, elapsed), self.likely_time(f, elapsed));
         let s = &mut self.fleet.servers[f.server];
-        s.work_out = (s.work_out - f.work).max(0.0);
-        if let Some(k) = s.flying.iter().position(|(sent, e)| *sent == f.sent && *e == f.expected) {
-            s.flying.remove(k);
-        }
+        s.landed(f);
         // Long overdue and nothing sent later was answered: a failure, even if a second copy was quicker and
         // this one was called off. The forecast grows with load, so load alone does not count.
         let overdue = !self.desk.stood && elapsed > (OVERDUE * f.expected).max(OVERDUE_AIM * aim);
@@ -912,10 +898,12 @@
                 s.errors *= 1.0 - NEWS;
                 s.failures = 0;
                 s.ejection = 0.0;
-                if s.went_silent && quiet > COLD_SILENCE * aim {
+                let started_by = f.connected.unwrap_or(self.now);
+                let restarted = started_by > std::mem::replace(&mut s.answered_at, self.now);
+                if s.went_silent && quiet > COLD_SILENCE * aim && restarted {
                     // Long silence, then an answer: a restart that the list may not show yet.
                     // What it was sent before, the process that fell silent may have got.
-                    if s.cold_since.replace(self.now).is_none() {
+                    if s.cold_since.replace(started_by).is_none() {
                         s.cold_sends.clear();
                     }
                 }
--- a/crates/brookbend/src/estimates/load.rs
+++ b/crates/brookbend/src/estimates/load.rs
@@ -1,6 +1,8 @@
 //! What others have out at one server, as its own reports show it.
 
 use crate::api::Ms;
+use crate::choice::{Aggregator, NEWS, OVERDUE};
+use crate::state::{Flight, Server};
 
 /// Reported work drains by this share of the server's pace: about half of what leaves is made up by new work.
 const DRAIN: f64 = 0.5;
@@ -39,3 +41,22 @@
         (self.work - drained).max(0.0)
     }
 }
+
+impl Aggregator {
+    /// A server's report of what it holds shows what others have out there. It is late and may be untrue: it
+    /// fills a few aims at most, drains with time, and no rule rests on it.
+    pub(crate) fn hear_load(&mut self, f: &Flight, load: Option<f64>) {
+        let Some(held) = load else { return };
+        let most = OVERDUE * self.shortest_aim / self.fleet_pace.max(NEWS);
+        let s = &mut self.fleet.servers[f.server];
+        if s.others.is_new(held) {
+            let others = (held - s.flying.len() as f64).max(0.0);
+            s.others.set((others * self.learned[f.class].work.unit()).min(most), self.now);
+        }
+    }
+
+    /// Work of others at a server, as reported.
+    pub(crate) fn others(&self, s: &Server) -> Ms {
+        s.others.at(self.now, s.pace.told())
+    }
+}
--- a/crates/brookbend/src/state.rs
+++ b/crates/brookbend/src/state.rs
@@ -19,6 +19,8 @@
     pub(crate) pace: Pace,
     pub(crate) heard: Ms,
     pub(crate) last_served_sent: Ms,
+    /// When its newest answer came.
+    pub(crate) answered_at: Ms,
     /// Share of failures, and failures in a row.
     pub(crate) errors: f64,
     pub(crate) failures: u32,
@@ -127,6 +129,8 @@
     pub(crate) sent: Ms,
     /// What this aggregator had been busy by then.
     pub(crate) busy: Ms,
+    /// Since when the connection is up that brought its answer, if that is told.
+    pub(crate) connected: Option<Ms>,
     /// Time until an answer, as forecast of its server alone, and with what this aggregator needs.
     pub(crate) forecast: Ms,
     pub(crate) expected: Ms,
@@ -200,6 +204,15 @@
 }
 
 impl Server {
+    /// An attempt there has ended.
+    pub(crate) fn landed(&mut self, flight: &Flight) {
+        self.work_out = (self.work_out - flight.work).max(0.0);
+        let of_it = |(sent, expected): &(Ms, Ms)| *sent == flight.sent && *expected == flight.expected;
+        if let Some(place) = self.flying.iter().position(of_it) {
+            self.flying.remove(place);
+        }
+    }
+
     /// Whether it serves, and has for long enough.
     pub(crate) fn warm(&self) -> bool {
         self.state == NodeState::Serving && self.cold_since.is_none()
@@ -227,6 +240,7 @@
             pace,
             heard: f64::NEG_INFINITY,
             last_served_sent: f64::NEG_INFINITY,
+            answered_at: f64::NEG_INFINITY,
             errors: 0.0,
             failures: 0,
             of_class: BTreeMap::new(),
--- a/crates/brookbend/src/view.rs
+++ b/crates/brookbend/src/view.rs
@@ -115,6 +115,7 @@
                         scale,
                         sent,
                         busy: self.own.busy,
+                        connected: None,
                         forecast: usual,
                         expected: usual,
                     };
--- a/crates/brookbend/tests/module.rs
+++ b/crates/brookbend/tests/module.rs
@@ -496,8 +496,9 @@
     assert!(taken[40..].iter().any(|t| *t), "locked out: {taken:?}");
 }
 
-/// How many of ten one-part queries, 10 apart, the only holder gets after it was silent for so long.
-fn sent_after_silence(silence: Ms) -> usize {
+/// How many of ten one-part queries, 10 apart, the only holder gets after it was silent for so long. Its first answer then
+/// comes over a connection that is up since that moment, if that is told.
+fn sent_after_silence(silence: Ms, connected: Option<Ms>) -> usize {
     let mut set = ring();
     (set.cells, set.reach, set.max_attempts) = (1, 1, 1);
     let mut s = Stand::new(set, 1);
@@ -507,7 +508,10 @@
     }
     s.step(silence, (0..6).map(|k| ended(&format!("q{k}.0"), 0, Outcome::TimedOut, silence)).collect());
     let sent = sends(&s.ask("back", &[0]));
-    s.step(20.0, sent.iter().map(|t| ended(&t.0, 0, Outcome::Served, 20.0)).collect());
+    let over = |part: &str| connected.map(|since| Event::Connected { part: id(part), attempt: 0, since });
+    let answers =
+        sent.iter().flat_map(|t| over(&t.0).into_iter().chain([ended(&t.0, 0, Outcome::Served, 20.0)]));
+    s.step(20.0, answers.collect());
     (0..10)
         .map(|k| {
             let sent = sends(&s.ask(&format!("r{k}"), &[0, 0]));
@@ -519,11 +523,19 @@
 
 #[test]
 fn long_silence_is_a_restart_and_a_short_one_is_not() {
-    assert_eq!(sent_after_silence(1000.0), 20, "a pause does not make a server cold");
-    let cold = sent_after_silence(3900.0);
+    assert_eq!(sent_after_silence(1000.0, None), 20, "a pause does not make a server cold");
+    let cold = sent_after_silence(3900.0, None);
     assert!(cold < 20, "after long silence it gets its cold allowance: {cold}");
 }
 
+/// Guards against slow servers that are spared as if they had restarted, and against restarts that go unnoticed.
+#[test]
+fn a_server_that_answers_over_a_connection_from_before_its_silence_did_not_restart() {
+    assert_eq!(sent_after_silence(3900.0, Some(0.0)), 20, "the connection is older than its last answer");
+    let cold = sent_after_silence(3900.0, Some(3900.0));
+    assert!(cold < 20, "the connection came up in the silence: {cold}");
+}
+
 #[test]
 fn a_part_lost_on_its_own_does_not_mark_its_server() {
     let mut set = ring();
--- a/crates/core/examples/part_cost.rs
+++ b/crates/core/examples/part_cost.rs
@@ -76,6 +76,7 @@
             outcome: Outcome::Served,
             elapsed: now - sent,
             load: None,
+            connected: None,
         };
         let reports = ended.into_iter().map(report).collect();
         let begin = Instant::now();
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -54,6 +54,8 @@
     pub elapsed: Micros,
     /// How much the server said it holds.
     pub load: Option<f64>,
+    /// Of one that was answered: since when the connection is up that brought the answer, if that is known.
+    pub connected: Option<Micros>,
 }
 
 /// An attempt to send.
@@ -320,13 +322,15 @@
         if reports.is_empty() {
             return Decisions::default();
         }
-        self.staged.extend(reports.into_iter().map(|r| Event::Ended {
-            part: part_id(r.attempt.query, r.attempt.part),
-            attempt: r.attempt.attempt,
-            outcome: r.outcome,
-            elapsed: to_ms(r.elapsed),
-            load: r.load,
-        }));
+        for report in reports {
+            let part = part_id(report.attempt.query, report.attempt.part);
+            let attempt = report.attempt.attempt;
+            if let Some(since) = report.connected.map(to_ms) {
+                self.staged.push(Event::Connected { part: part.clone(), attempt, since });
+            }
+            let (outcome, elapsed, load) = (report.outcome, to_ms(report.elapsed), report.load);
+            self.staged.push(Event::Ended { part, attempt, outcome, elapsed, load });
+        }
         self.run(now)
     }
 
@@ -578,7 +582,7 @@
     }
 
     fn ended(attempt: AttemptId, outcome: Outcome) -> Report {
-        Report { attempt, outcome, elapsed: 20_000, load: None }
+        Report { attempt, outcome, elapsed: 20_000, load: None, connected: None }
     }
 
     #[test]
@@ -662,7 +666,8 @@
         while now < 302_000 && !ended {
             now += 50_000;
             let attempt = AttemptId { query: 1, part: 0, attempt: attempts - 1 };
-            let timed_out = Report { attempt, outcome: Outcome::TimedOut, elapsed: 50_000, load: None };
+            let timed_out =
+                Report { attempt, outcome: Outcome::TimedOut, elapsed: 50_000, load: None, connected: None };
             let report = core.report(now, vec![timed_out]);
             let mut all = vec![report, core.tick(now)];
             now += 20_000;
--- a/crates/core/tests/burst.rs
+++ b/crates/core/tests/burst.rs
@@ -148,7 +148,13 @@
         let mut reports = Vec::new();
         while let Some(entry) = self.answers.first_entry().filter(|entry| entry.key().0 <= now) {
             let ((_, attempt), sent) = entry.remove_entry();
-            reports.push(Report { attempt, outcome: Outcome::Served, elapsed: now - sent, load: None });
+            reports.push(Report {
+                attempt,
+                outcome: Outcome::Served,
+                elapsed: now - sent,
+                load: None,
+                connected: None,
+            });
         }
         let mut queries = Vec::new();
         while let Some((at, id)) = self.waiting.pop_front_if(|(at, _)| *at <= now) {
@@ -195,7 +201,8 @@
             let key = self.answers.keys().find(|(_, other)| *other == attempt).copied();
             if let Some(sent) = key.and_then(|key| self.answers.remove(&key)) {
                 let elapsed = decided - sent;
-                let report = Report { attempt, outcome: Outcome::Cancelled, elapsed, load: None };
+                let report =
+                    Report { attempt, outcome: Outcome::Cancelled, elapsed, load: None, connected: None };
                 let further = self.core.report(decided, vec![report]);
                 self.carry_out(decided, further);
             }
--- a/crates/core/tests/day.rs
+++ b/crates/core/tests/day.rs
@@ -289,7 +289,13 @@
         if let Some(open) = self.open.get_mut(&attempt.query).filter(|_| outcome == Outcome::Served) {
             open.parts[attempt.part].2 = true;
         }
-        self.reports[broker].push(Report { attempt, outcome, elapsed: now - sent, load: None });
+        self.reports[broker].push(Report {
+            attempt,
+            outcome,
+            elapsed: now - sent,
+            load: None,
+            connected: None,
+        });
     }
 
     fn account(&mut self, now: Micros, query: QueryId, verdict: Verdict) {
--- a/crates/core/tests/places.rs
+++ b/crates/core/tests/places.rs
@@ -261,6 +261,7 @@
                 outcome: Outcome::Full,
                 elapsed: 1000,
                 load: None,
+                connected: None,
             };
             now += 1000;
             let mut decisions = core.report(now, out.drain(..).map(failed).collect());
--- a/crates/core/tests/settings.rs
+++ b/crates/core/tests/settings.rs
@@ -134,7 +134,7 @@
             *now += 20_000;
             let served = |d: plover_core::Dispatch| {
                 let (attempt, outcome) = (d.attempt, Outcome::Served);
-                Report { attempt, outcome, elapsed: 20_000, load: None }
+                Report { attempt, outcome, elapsed: 20_000, load: None, connected: None }
             };
             decisions = core.report(*now, sent.into_iter().map(served).collect());
             continue;
--- a/crates/core/tests/wide.rs
+++ b/crates/core/tests/wide.rs
@@ -44,7 +44,8 @@
     let all: Vec<_> = [9, 10].into_iter().flat_map(|q| (0..PARTS).map(move |p| (q, p, 0))).collect();
     assert!(numbers == all, "{:?}", &numbers[..10]);
     let (last, rest) = sent.split_last().unwrap();
-    let served = |a| Report { attempt: a, outcome: Outcome::Served, elapsed: 2000, load: None };
+    let served =
+        |a| Report { attempt: a, outcome: Outcome::Served, elapsed: 2000, load: None, connected: None };
     let first = core.report(4000, rest.iter().map(|d| served(d.attempt)).collect()).finals;
     assert_eq!(first.iter().map(|f| f.query).collect::<Vec<_>>(), [9], "the other one misses a part");
     let then = core.report(5000, vec![served(last.attempt)]).finals;
