A class refused after a slow spell is served again, whatever else the broker carries

Cause: refused queries bring no answers, so that what a class has learned of the spell stays. The probe that was to end this was let in only with nothing at all out, of any class, and what was learned faded only where no server of the whole fleet was heard for 4 s. A broker at work is seldom so idle.

Change: probes are each class's own (probe.rs). After three refusals in a row of the class one is let in, whatever else is out; the next at once if it was served in time, else after 500 ms. So a hung attempt, of this class or another, holds up nothing, and a class whose servers are truly slow costs two queries a second and broker at the most: at 1,600 brokers and 690 parts 2.2 of the 193 million parts a second that the fleet is made for. `refused_on_arrival` tells how many probes there were.

Looked at for the same fault: lag fades by its class's refusals; error shares of a class fade each second; an unheard server's pace comes back to the fleet's. Unit of work, widths and best worth move by their class's answers, which probes now bring.

--- a/crates/broker/src/turns.rs
+++ b/crates/broker/src/turns.rs
@@ -378,10 +378,10 @@
     fn tell_refusals(&mut self) {
         let refusals = self.core.refusals();
         let logged = std::mem::replace(&mut self.refusals_logged, refusals.total());
-        let Refusals { past_aim, mean, slowest, own, lag, newest, .. } = refusals;
+        let Refusals { past_aim, mean, slowest, own, lag, newest, probes } = refusals;
         if let Some(newest) = newest.filter(|_| logged < refusals.total()) {
             debug!(
-                name: "refused_on_arrival", past_aim, mean, slowest, own, lag, class = newest.class.0,
+                name: "refused_on_arrival", past_aim, mean, slowest, own, lag, probes, class = newest.class.0,
                 mean_ms = newest.mean, slowest_ms = newest.slowest, own_ms = newest.own, lag_ms = newest.lag, allowed_ms = newest.allowed
             );
         }
--- a/crates/brookbend/src/choice.rs
+++ b/crates/brookbend/src/choice.rs
@@ -317,7 +317,7 @@
         if plan {
             q.planned = true;
             q.recount(&self.set, self.now);
-            if q.first_whole.is_none() && !self.admit(q) {
+            if q.first_whole.is_none() && !self.admit(id, q) {
                 // Refusals bring no news: without this, one bad spell would be believed for ever.
                 self.learned[q.class].lag *= 1.0 - LAG_NEWS / 2.0;
                 q.forecast = 0.0;
@@ -636,7 +636,6 @@
         self.desk.flights.insert((piece.id.clone(), piece.tries.len() as u32), flight);
         piece.tries.push(Try { server, sent: self.now, expected, outcome: None, took: 0.0 });
         let node = self.fleet.servers[server].node.clone();
-        self.desk.refusals.in_a_row = 0;
         self.out.push(Action::Send { part: piece.id.clone(), node, within });
     }
 
@@ -712,6 +711,9 @@
 
     fn answer(&mut self, id: &RequestId, q: &mut Held, whole: bool) -> bool {
         self.out.push(Action::Answer { query: id.clone(), whole });
+        if whole && self.now <= q.asked + self.set.classes[q.class].aim {
+            self.learned[q.class].probes.note_served(id, self.now);
+        }
         if self.set.classes[q.class].second_step && q.first_whole.is_none() {
             self.cancel_rest(q);
             q.first_whole = Some(whole);
@@ -768,7 +770,7 @@
 
     /// Whether a query can be served in time. Under load those that earn least for their work go first. The
     /// slowest part counts in part: copies may get round one whose holders all have an attempt overdue.
-    fn admit(&mut self, q: &mut Held) -> bool {
+    fn admit(&mut self, id: &RequestId, q: &mut Held) -> bool {
         let over_share = self.over_share(q.tenant);
         let class = &self.set.classes[q.class];
         let (mut mean, mut slowest): (Ms, Ms) = (0.0, 0.0);
@@ -816,11 +818,19 @@
         // Past its aim it is refused: it would earn the late worth at most.
         let (class, lag) = (ClassIndex(q.class), self.learned[q.class].lag * (1.0 - fallback));
         let assessment = Assessment { class, mean, slowest, own, forecast, lag, allowed: limit * left };
-        let admitted = assessment.admits() || self.probes(&assessment);
-        if !admitted {
-            self.desk.refusals.note(assessment);
+        let probes = &mut self.learned[q.class].probes;
+        if assessment.admits() {
+            probes.note_admitted();
+            return true;
         }
-        admitted
+        let in_time_yet = assessment.allowed > 0.0;
+        if in_time_yet && probes.lets_in(id, self.now) {
+            self.desk.refusals.probes += 1;
+            return true;
+        }
+        probes.note_refused();
+        self.desk.refusals.note(assessment);
+        false
     }
 
     fn over_share(&mut self, tenant: usize) -> bool {
--- a/crates/brookbend/src/lib.rs
+++ b/crates/brookbend/src/lib.rs
@@ -58,6 +58,7 @@
 mod estimates;
 mod fleet;
 pub mod own;
+mod probe;
 pub mod recall;
 pub mod refusals;
 mod retune;
--- a/crates/brookbend/src/own.rs
+++ b/crates/brookbend/src/own.rs
@@ -1,16 +1,12 @@
-//! The time that an aggregator itself needs for what it has in hand, and how it comes to know better where forecasts are so
-//! high that it refuses all.
+//! The time that an aggregator itself needs for what it has in hand.
 
 use crate::api::Ms;
 use crate::choice::Aggregator;
-use crate::refusals::Assessment;
 use crate::state::Flight;
 
 /// A query waits for so many turns of other work: for the one under way as it comes, and for one of those in which its
 /// answers come.
 const TURNS_WAITED: f64 = 2.0;
-/// With nothing out, so many queries in a row are refused on arrival before one is let in as a probe.
-const REFUSED_BEFORE_PROBE: u32 = 3;
 
 /// What an aggregator itself needs, as its caller measures it.
 #[derive(Clone, Copy, Debug, Default)]
@@ -47,11 +43,4 @@
     pub(crate) fn own_time(&self, parts: usize) -> Ms {
         self.own.part * (self.fleet.called.len() + parts) as f64 + self.own.turn * TURNS_WAITED
     }
-
-    /// Whether a query that is forecast to be late is let in all the same. Forecasts are lowered by answers alone: where all is
-    /// refused and nothing is out, none will come, and what was learned in a bad spell would be believed long after it.
-    pub(crate) fn probes(&self, assessment: &Assessment) -> bool {
-        let in_time_yet = assessment.allowed > 0.0;
-        in_time_yet && self.desk.flights.is_empty() && self.desk.refusals.in_a_row >= REFUSED_BEFORE_PROBE
-    }
 }
--- a/crates/brookbend/src/refusals.rs
+++ b/crates/brookbend/src/refusals.rs
@@ -75,8 +75,8 @@
     pub lag: u64,
     /// The newest of them.
     pub newest: Option<Assessment>,
-    /// Those since something was last sent.
-    pub in_a_row: u32,
+    /// Queries that were let in as probes, though they were forecast to be late.
+    pub probes: u64,
 }
 
 impl Refusals {
@@ -91,7 +91,6 @@
             Cause::Lag => &mut self.lag,
         } += 1;
         self.newest = Some(assessment);
-        self.in_a_row = self.in_a_row.saturating_add(1);
     }
 
     /// All of them.
--- a/crates/brookbend/src/state.rs
+++ b/crates/brookbend/src/state.rs
@@ -3,6 +3,7 @@
 use crate::agenda::{Agenda, Stand, Tally};
 use crate::api::*;
 use crate::estimates::{OthersLoad, Pace, Work};
+use crate::probe::Probes;
 use rand_pcg::Pcg64Mcg;
 use rand_pcg::rand_core::{RngCore, SeedableRng};
 use std::collections::{BTreeMap, VecDeque};
@@ -192,6 +193,7 @@
     /// How long the second step took.
     pub(crate) second: Ms,
     pub(crate) patience: Patience,
+    pub(crate) probes: Probes,
 }
 
 /// The width loop of one class.
