--- a/crates/ploverport/tests/operation/restart.rs
+++ b/crates/ploverport/tests/operation/restart.rs
@@ -315,7 +315,6 @@
 
 /// Both versions of HTTP, on old connections and new ones, before, at and after the signal.
 #[test]
-#[ignore = "known red: see KNOWN-RED.txt"]
 fn every_request_through_a_restart_is_answered() {
     let fleet = fleet(Duration::from_millis(20));
     let mut program = start(&fleet, "listen-http2 127.0.0.1:0\n");
