Tests of the control service take ports that no other test's socket can be given

The test asked the system for a port, gave it back, and started programs one after another that were to listen on it; until then any socket of another test or program could be given the same port. Ports come from below the system's range now (32768 on this machine), each one once in a process, other ones in other processes. The test's checks are as they were.

--- a/crates/ploverport/tests/control/peers.rs
+++ b/crates/ploverport/tests/control/peers.rs
@@ -5,6 +5,7 @@
 use plover_xds::Variant;
 use plover_xds_client::{Proxy, State, Style};
 use std::net::TcpListener;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 /// Operator's lines of one of several instances that talk.
@@ -51,8 +52,20 @@
 /// With two cores and 126 ms a request a server may have 17 out when it is all but warm: half of that is 9 at the most.
 const MORE_THAN_A_PART: u32 = 10;
 
+/// A port that is free, from below those that the system itself gives out to other tests' sockets in the meantime.
 fn free_port() -> u16 {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port()
+    const FIRST: u32 = 20_000;
+    const OF_A_PROCESS: u32 = 100;
+    const PROCESSES: u32 = 100;
+    static TAKEN: AtomicU32 = AtomicU32::new(0);
+    let first = FIRST + std::process::id() % PROCESSES * OF_A_PROCESS;
+    loop {
+        let port = first + TAKEN.fetch_add(1, Ordering::Relaxed) % OF_A_PROCESS;
+        let port = u16::try_from(port).unwrap();
+        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
+            return port;
+        }
+    }
 }
 
 #[test]
