Log: configurations still gone by at a reload, attempts by number, late answers

Change: reloaded has previous; part_ended (debug) has attempt; upstream_late_answer (debug) tells of an answer to an attempt that was given up.

--- a/crates/broker/src/event_loop.rs
+++ b/crates/broker/src/event_loop.rs
@@ -357,8 +357,9 @@
         self.perform(now, actions);
         self.core.reconfigure(&placed, config.max_open, now + SETTINGS_EFFECTIVE_AFTER);
         self.upstream.set_limits(config.pool);
-        self.doors.fronts.change(now, self.files.terms(&placed.settings, &placed.names));
-        info!(name: "reloaded", discovery = %config.discovery, classes = config.names.classes.join(","));
+        let previous = self.doors.fronts.change(now, self.files.terms(&placed.settings, &placed.names));
+        let classes = config.names.classes.join(",");
+        info!(name: "reloaded", discovery = %config.discovery, classes, previous);
         self.discovery.move_to(config.discovery, Times::within(millis(config.settings.list_deadline)));
     }
 
--- a/crates/broker/src/front/mod.rs
+++ b/crates/broker/src/front/mod.rs
@@ -197,9 +197,11 @@
         accept::Serve::seats(&*self.http1.front).busy()
     }
 
-    /// Takes other terms, told at this moment.
-    pub fn change(&self, at: Micros, terms: RequestConfig) {
-        self.shared.terms.borrow_mut().update(at, terms);
+    /// Takes other terms, told at this moment. Returns how many earlier ones clients may still go by.
+    pub fn change(&self, at: Micros, terms: RequestConfig) -> usize {
+        let mut history = self.shared.terms.borrow_mut();
+        history.update(at, terms);
+        history.previous_count(at)
     }
 
     /// Goes by another stage; with [`Stage::CloseIdle`] idle connections are closed. For [`Stage::Closing`] there is
--- a/crates/broker/src/queries.rs
+++ b/crates/broker/src/queries.rs
@@ -552,7 +552,10 @@
         let Some(pending) = self.pending.get_mut(&ended.attempt.query) else { return };
         pending
             .span
-            .in_scope(|| debug!(name: "part_ended", part = ended.attempt.part, outcome = ?ended.outcome));
+            .in_scope(|| {
+                let AttemptId { part, attempt, .. } = ended.attempt;
+                debug!(name: "part_ended", part, attempt, outcome = ?ended.outcome);
+            });
         if let Some(value) = pending.values.get_mut(ended.attempt.part)
             && ended.outcome == Outcome::Served
         {
--- a/crates/broker/src/upstream/endings.rs
+++ b/crates/broker/src/upstream/endings.rs
@@ -7,7 +7,7 @@
 use plover_model::query::{AttemptId, QueryId};
 use plover_model::server::Outcome;
 use plover_model::time::Micros;
-use tracing::warn;
+use tracing::{debug, warn};
 
 /// A connection is suspect if an attempt is abandoned on it after this number of dial time-outs and nothing
 /// was received since the attempt was sent. A cut link leaves connections open and silent, and TCP does not
@@ -164,7 +164,10 @@
         // A cancelled attempt may still be answered; that answer is ignored. Any other answer was sent in
         // place of one that is awaited, which will not come.
         match pooled.cancelled.iter().position(|cancelled| cancelled.is(part)) {
-            Some(position) => _ = self.connections.change(id, |pooled| pooled.cancelled.remove(position)),
+            Some(position) => {
+                debug!(name: "upstream_late_answer", server = %pooled.server.name.0, part, outcome = ?outcome);
+                _ = self.connections.change(id, |pooled| pooled.cancelled.remove(position));
+            }
             None => self.close_corrupt(now, id, "answer to an attempt that is not in flight"),
         }
     }
--- a/crates/query/src/request_config.rs
+++ b/crates/query/src/request_config.rs
@@ -102,6 +102,12 @@
         &self.current
     }
 
+    /// Returns the number of previous configurations that clients may still use at time `at`.
+    pub fn previous_count(&self, at: Micros) -> usize {
+        let in_use = |announced_at: Micros| at.saturating_sub(announced_at) < PREVIOUS_CONFIG_LIFETIME;
+        self.previous.iter().filter(|(announced_at, _)| in_use(*announced_at)).count()
+    }
+
     /// Decodes a request that was received at time `at` with the configuration in force at that time. Around
     /// a switch the strictest of the possible configurations applies. If none of them can decode the request,
     /// the one that is closest in time and can decode it applies.
