--- a/crates/broker/src/queries.rs
+++ b/crates/broker/src/queries.rs
@@ -550,12 +550,10 @@
             self.key_register.attempt_ended(now, &key, shard, proof);
         }
         let Some(pending) = self.pending.get_mut(&ended.attempt.query) else { return };
-        pending
-            .span
-            .in_scope(|| {
-                let AttemptId { part, attempt, .. } = ended.attempt;
-                debug!(name: "part_ended", part, attempt, outcome = ?ended.outcome);
-            });
+        pending.span.in_scope(|| {
+            let AttemptId { part, attempt, .. } = ended.attempt;
+            debug!(name: "part_ended", part, attempt, outcome = ?ended.outcome);
+        });
         if let Some(value) = pending.values.get_mut(ended.attempt.part)
             && ended.outcome == Outcome::Served
         {
--- a/crates/core/src/index_table.rs
+++ b/crates/core/src/index_table.rs
@@ -3,6 +3,7 @@
 //! A query keeps the index of its class until it ends, and the rules at that index apply to it. The entry of
 //! a class therefore never changes while it is in use: a class whose settings change moves to another index,
 //! and a removed class keeps its index until it has no open queries and was removed at least `RETENTION` ago.
+//! If no index is left, a class that is changed back takes the index that it had with the same settings.
 //! A tenant keeps its index as long as the settings name it, and its entry takes the new settings; a removed
 //! tenant keeps its settings for its open queries.
 
@@ -108,6 +109,15 @@
     }
 }
 
+/// Returns the index of a removed class of this name with the same settings, which holds for its open queries
+/// and for new ones alike.
+fn reinstate(classes: &mut [Entry<Class>], name: &str, class: &Class) -> Option<usize> {
+    let is_same = |e: &Entry<Class>| e.removed_at.is_some() && e.name == name && e.settings == *class;
+    let index = classes.iter().position(is_same)?;
+    classes[index].removed_at = None;
+    Some(index)
+}
+
 /// Marks all entries but the current ones as removed.
 fn mark_removed<T>(entries: &mut [Entry<T>], now: Micros, current: &BTreeSet<usize>) {
     for (i, entry) in entries.iter_mut().enumerate() {
@@ -148,7 +158,9 @@
                 continue;
             }
             let entry = Entry::new(name, class.clone());
-            let index = assign_index(&mut table.classes, now, entry).ok_or(TooManyIndices("classes"))?;
+            let index = assign_index(&mut table.classes, now, entry)
+                .or_else(|| reinstate(&mut table.classes, name, class))
+                .ok_or(TooManyIndices("classes"))?;
             current.insert(index);
             new_classes.push(NewClass { class: ClassIndex(index), inherits_from: previous.map(ClassIndex) });
         }
--- a/crates/core/src/index_table/tests.rs
+++ b/crates/core/src/index_table/tests.rs
@@ -71,6 +71,25 @@
     assert_eq!(error, Some(((MAX_INDICES - old.classes.len()) as u32 as i32, TooManyIndices("classes"))));
 }
 
+/// Guards against turning settings down, and with them a stricter class, because a class has changed back and
+/// forth too often for its old versions to be forgotten.
+#[test]
+fn a_class_that_changes_back_and_forth_never_runs_out_of_indices() {
+    let (old, names) = settings();
+    let mut new = old.clone();
+    new.classes[0].semantics = Semantics::Unsafe;
+    let mut table = IndexTable::new(&old, &names);
+    for n in 0..4 * MAX_INDICES {
+        let expected = if n % 2 == 0 { &new } else { &old };
+        let indexed = table.plan(n as Micros, expected, &names).unwrap();
+        let class = indexed.names.class("lookup").unwrap();
+        assert_eq!(indexed.settings.classes[class], expected.classes[0]);
+        assert_eq!(indexed.settings.classes[0], old.classes[0], "an index keeps its settings");
+        table.apply(&indexed);
+    }
+    assert_eq!(table.classes.len(), MAX_INDICES);
+}
+
 proptest! {
     /// The settings of the class of an open query never change, whatever changes of the settings and queries
     /// come.
--- a/crates/model/src/query.rs
+++ b/crates/model/src/query.rs
@@ -92,7 +92,7 @@
 }
 
 /// Names of classes, tenants and zones. The index of a name is its index in the settings.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Names {
     /// Name of each class, by index.
     pub classes: Vec<String>,
@@ -112,6 +112,12 @@
         find(&self.classes, &self.removed_classes, name.as_bytes())
     }
 
+    /// Returns the indices of all current classes with this name. There are several only where the names of
+    /// several configurations were merged.
+    pub fn classes_named<'a>(&'a self, name: &'a str) -> impl Iterator<Item = usize> + 'a {
+        all_named(&self.classes, &self.removed_classes, name.as_bytes())
+    }
+
     /// Returns the index of the tenant that all requests belong to if the settings name no tenants.
     pub fn implicit_tenant(&self) -> Option<usize> {
         if self.tenants.is_empty() { Some(0) } else { self.tenant(b"") }
@@ -124,8 +130,16 @@
 }
 
 fn find(names: &[String], removed: &BTreeSet<usize>, name: &[u8]) -> Option<usize> {
-    let mut all = names.iter().enumerate();
-    all.find(|(i, n)| n.as_bytes() == name && !removed.contains(i)).map(|(i, _)| i)
+    all_named(names, removed, name).next()
+}
+
+fn all_named<'a>(
+    names: &'a [String],
+    removed: &'a BTreeSet<usize>,
+    name: &'a [u8],
+) -> impl Iterator<Item = usize> + 'a {
+    let named = names.iter().enumerate().filter(move |(_, n)| n.as_bytes() == name);
+    named.map(|(i, _)| i).filter(move |i| !removed.contains(i))
 }
 
 /// Name of the section in the operator's file that sets a limit. All queries with a limit from the same
--- a/crates/query/src/request_config/tests.rs
+++ b/crates/query/src/config_history/tests.rs
@@ -1,5 +1,8 @@
 use super::*;
+use brookbend::api::Semantics;
 use brookbend::settings::{JsonObject, decode as decode_settings};
+use plover_model::query::Names;
+use std::sync::Arc;
 
 fn config() -> RequestConfig {
     let settings: serde_json::Value =
@@ -35,6 +38,20 @@
     new
 }
 
+/// Returns a configuration in which the first class has these semantics and has been changed `n` times
+/// before, each time with a new index.
+fn config_with_nth_version(n: usize, semantics: Semantics) -> RequestConfig {
+    let mut new = config();
+    let settings = new.settings.as_mut().unwrap();
+    let mut class = settings.classes[0].clone();
+    class.semantics = semantics;
+    settings.classes.resize(settings.classes.len() + n + 1, class);
+    let removed = (3..3 + n).chain([0]).collect();
+    new.names.classes.resize(3 + n + 1, "lookup".into());
+    new.names.removed_classes = removed;
+    new
+}
+
 #[test]
 fn added_classes_are_known_at_once_and_removed_ones_for_a_while() {
     let mut history = RequestConfigHistory::new(config());
@@ -142,6 +159,44 @@
     assert_eq!(class(2 * SETTINGS_EFFECTIVE_AFTER + SWITCH_UNCERTAINTY), 4);
 }
 
+/// Guards against losing a configuration that was replaced soon after its announcement: clients apply it for
+/// as long as it was the newest one, only later. Of five configurations 0.4 s apart only the fourth makes the
+/// class unsafe.
+#[test]
+fn each_of_several_configurations_in_quick_succession_applies_in_its_time() {
+    const APART: Micros = 400 * MILLI;
+    let (keyed, safe) = (Semantics::Keyed { window: 5000.0 }, Semantics::Safe);
+    let mut history = RequestConfigHistory::new(config());
+    for (n, semantics) in [safe, keyed, safe, Semantics::Unsafe, keyed].into_iter().enumerate() {
+        history.update(n as Micros * APART, config_with_nth_version(n, semantics));
+    }
+    // The fourth configuration has the index that follows those of the site's classes and of three versions.
+    let fourth = config().names.classes.len() + 3;
+    for at in [3 * APART, 4 * APART - 1].map(|announced_at| announced_at + SETTINGS_EFFECTIVE_AFTER) {
+        assert_eq!(history.decode(at, &request("lookup", true)).unwrap().class, fourth, "{at}");
+    }
+}
+
+/// With more configurations than are kept, all classes are still known, and the strictest version of a class
+/// applies to requests that any of the merged ones may apply to.
+#[test]
+fn merged_configurations_know_all_classes_and_the_strictest_version_of_each_applies() {
+    let mut history = RequestConfigHistory::new(config());
+    let count = 3 * MAX_PREVIOUS;
+    for n in 0..count {
+        let semantics = if n == MAX_PREVIOUS { Semantics::Unsafe } else { Semantics::Safe };
+        history.update(n as Micros, config_with_nth_version(n, semantics));
+    }
+    assert!(history.previous.len() <= MAX_PREVIOUS);
+    for at in [count as Micros, SETTINGS_EFFECTIVE_AFTER, SETTINGS_EFFECTIVE_AFTER + SWITCH_UNCERTAINTY] {
+        let class = history.decode(at, &request("lookup", false)).unwrap().class;
+        assert_eq!(class, config().names.classes.len() + MAX_PREVIOUS, "{at}");
+    }
+    let last = config().names.classes.len() + count - 1;
+    let all_over = PREVIOUS_CONFIG_LIFETIME + count as Micros;
+    assert_eq!(history.decode(all_over, &request("lookup", false)).unwrap().class, last);
+}
+
 /// Clients send rounded portions, so the sum over a wide query may differ from 1 by more than that over a
 /// narrow one.
 #[test]
@@ -153,7 +208,7 @@
             (0..count).map(|n| format!("{{\"range\":{n},\"portion\":{portion}}}")).collect();
         let body = format!("{{\"ranges\":[{}],\"predicate\":\"c41e77d0\"}}", ranges.join(","));
         let request = request("lookup", false).map(|_| body.into_bytes());
-        wide.decode(&request).map(|query| query.parts.len()).is_ok()
+        wide.decode(&request).map(|(query, _)| query.parts.len()).is_ok()
     };
     // 1/690 and 1/50 rounded to four decimal places, and portions that are further off than rounding
     // explains.
--- a/crates/query/src/decode.rs
+++ b/crates/query/src/decode.rs
@@ -36,19 +36,36 @@
     Err(Reply::Bad { status, why: why.into() })
 }
 
-/// Decodes a query from a request. The class is the first segment of the path. The error is the answer to the
-/// client.
+/// Returns the name of the class of a request, which is the first segment of its path.
+pub(crate) fn class_name(request: &Request<Vec<u8>>) -> &str {
+    request.uri().path().trim_start_matches('/').split('/').next().unwrap_or_default()
+}
+
+/// The answer to a request whose path names no class.
+pub(crate) fn unknown_class() -> Reply {
+    Reply::Bad { status: 404, why: "the path names no class".to_owned() }
+}
+
+/// Decodes a query from a request. The error is the answer to the client.
 pub fn decode(
     request: &Request<Vec<u8>>,
     names: &Names,
     settings: &Settings,
     routes: &CompiledRoutes,
+) -> Result<QueryRequest, Reply> {
+    let class = names.class(class_name(request)).ok_or_else(unknown_class)?;
+    decode_as(request, class, names, settings, routes)
+}
+
+/// Decodes a query of the class with this index from a request. The error is the answer to the client.
+pub(crate) fn decode_as(
+    request: &Request<Vec<u8>>,
+    class: usize,
+    names: &Names,
+    settings: &Settings,
+    routes: &CompiledRoutes,
 ) -> Result<QueryRequest, Reply> {
     let headers = request.headers();
-    let first_segment = request.uri().path().trim_start_matches('/').split('/').next().unwrap_or_default();
-    let Some(class) = names.class(first_segment) else {
-        return bad_request(404, "the path names no class");
-    };
     if request.method() != Method::POST {
         return bad_request(if is_standard(request.method()) { 405 } else { 501 }, "a query is a POST");
     }
@@ -57,12 +74,11 @@
     }
     let id = token(headers, "x-request-id")?;
     let Some(id) = id else { return bad_request(400, "X-Request-Id is missing") };
-    let tenant = match (names.implicit_tenant(), headers.get("x-tenant")) {
-        (Some(implicit), _) => implicit,
-        (None, Some(name)) => match names.tenant(name.as_bytes()) {
-            Some(tenant) => tenant,
-            None => return bad_request(400, "X-Tenant names no tenant"),
-        },
+    let tenant_name = headers.get("x-tenant");
+    let named_tenant = tenant_name.and_then(|name| names.tenant(name.as_bytes()));
+    let tenant = match (named_tenant.or_else(|| names.implicit_tenant()), tenant_name) {
+        (Some(tenant), _) => tenant,
+        (None, Some(_)) => return bad_request(400, "X-Tenant names no tenant"),
         (None, None) => return bad_request(400, "X-Tenant is missing"),
     };
     let keyed = !matches!(settings.classes[class].semantics, Semantics::Safe);
--- a/crates/query/src/lib.rs
+++ b/crates/query/src/lib.rs
@@ -3,12 +3,14 @@
 //! messages on a connection is implemented elsewhere. Every front decodes requests with [`route`] and encodes
 //! the responses that it gets.
 
+mod config_history;
 mod decode;
 mod request_config;
 mod response;
 
+pub use config_history::{RequestConfigHistory, SETTINGS_EFFECTIVE_AFTER};
 pub use decode::decode;
-pub use request_config::{RequestConfig, RequestConfigHistory, SETTINGS_EFFECTIVE_AFTER};
+pub use request_config::RequestConfig;
 pub use response::{Response, connection_refusal, date_header, encode_reply, plain_text};
 
 use http::{Method, Request};
