--- a/crates/broker/src/upstream/assignment.rs
+++ b/crates/broker/src/upstream/assignment.rs
@@ -3,6 +3,7 @@
 use super::connection::{Connection, QueuedPart, WriteItem, run};
 use super::connection_table::{PooledConnection, Server};
 use super::{STALLED_AFTER, Upstream};
+use plover_model::query::AttemptId;
 use plover_model::server::NodeId;
 use plover_model::time::{MILLI, Micros};
 use std::collections::VecDeque;
@@ -59,10 +60,10 @@
         self.connections.get(&connection).is_some_and(|c| c.attempt_answered_by(wire).is_some())
     }
 
-    /// Returns a connection with capacity for these parts on which none of them is in flight yet; `None` if
-    /// the server has no address, or if all descriptors are in use and no idle connection can be closed.
-    /// Answers are matched by part id, so the answers to two attempts at one part could not be told apart on
-    /// the same connection.
+    /// Returns a connection with capacity for these parts that has carried none of them before; `None` if the
+    /// server has no address, or if all descriptors are in use and no idle connection can be closed. Answers
+    /// are matched by part id, so the answers to two attempts at one part could not be told apart on the same
+    /// connection, even if one of them has ended: its answer may come late, or twice.
     ///
     /// Prefers the connection that has been idle for longest, since a server may close a connection right
     /// after its answer, and a part sent while the server closes the connection ends with a reset. Then
@@ -78,13 +79,16 @@
         let dialling = self.dialling(server);
         let connections = server.connections.borrow();
         let open = connections.iter().filter_map(|id| Some((*id, self.connections.get(id)?)));
-        let distinct = |c: &PooledConnection| parts.iter().all(|part| c.attempt_for(&part.id).is_none());
+        let has_carried = |id: u64, c: &PooledConnection| {
+            parts.iter().any(|part| c.may_answer(&part.id) || self.was_assigned(part.attempt, id))
+        };
         let has_capacity =
             |c: &PooledConnection| c.in_flight.len() + parts.len() <= self.limits.max_parts_per_connection;
         let avoid =
             |c: &PooledConnection| c.dial_overdue && c.connection.is_dialling() && dialling < MAX_DIALS;
-        let accepts = |c: &PooledConnection| !c.retiring && !avoid(c) && has_capacity(c) && distinct(c);
-        let candidates = open.filter(|(_, c)| accepts(c) && !self.is_suspect(now, c));
+        let accepts = |c: &PooledConnection| !c.retiring && !avoid(c) && has_capacity(c);
+        let candidates =
+            open.filter(|(id, c)| accepts(c) && !has_carried(*id, c) && !self.is_suspect(now, c));
         let best = candidates.min_by_key(|(_, c)| (c.in_flight.len(), c.last_used));
         let max_connections =
             (self.limits.max_connections / self.servers.len().max(1)).clamp(1, MAX_PER_SERVER);
@@ -125,6 +129,12 @@
         Some(id)
     }
 
+    /// Whether an earlier attempt at the same part of the same query was assigned to this connection.
+    fn was_assigned(&self, attempt: AttemptId, connection: u64) -> bool {
+        let first = AttemptId { attempt: 0, ..attempt };
+        self.assigned.range(first..attempt).any(|(_, id)| *id == connection)
+    }
+
     /// Number of connections to a server that are still being dialled.
     fn dialling(&self, server: &Server) -> usize {
         let connections = server.connections.borrow();
@@ -162,6 +172,7 @@
             self.connections.change(to, |c| c.in_flight.push((part.id.clone(), attempt)));
             if let Some(flight) = self.in_flight.get_mut(&attempt) {
                 flight.connection = to;
+                self.assigned.entry(attempt).and_modify(|connection| *connection = to);
                 part.wait_ms = (flight.deadline.saturating_sub(now) / MILLI).max(1);
             }
         }
--- a/crates/broker/src/upstream/connection_table.rs
+++ b/crates/broker/src/upstream/connection_table.rs
@@ -70,7 +70,8 @@
     pub(super) _task: Task<()>,
     /// Attempts in flight, the oldest first. They are few, and are looked up by their ids on the wire.
     pub(super) in_flight: Vec<(PartId, AttemptId)>,
-    /// Parts that were cancelled after they had been written, the newest last. They may still be answered.
+    /// Parts that were cancelled after they had been written, the newest last. They may still be answered:
+    /// none is forgotten before that, and the connection retires when there are many.
     pub(super) cancelled: VecDeque<PartId>,
     /// When an incomplete frame last grew; `None` if no frame is incomplete.
     pub(super) partial_since: Option<Micros>,
@@ -90,9 +91,10 @@
 }
 
 impl PooledConnection {
-    /// The attempt at this part that is in flight here.
-    pub(super) fn attempt_for(&self, part: &PartId) -> Option<AttemptId> {
-        self.in_flight.iter().find(|(id, _)| id == part).map(|(_, attempt)| *attempt)
+    /// Whether an answer with the id of this part may still arrive here, to an attempt that is in flight or
+    /// was cancelled.
+    pub(super) fn may_answer(&self, part: &PartId) -> bool {
+        self.in_flight.iter().any(|(id, _)| id == part) || self.cancelled.contains(part)
     }
 
     /// The attempt in flight that an answer with this wire id belongs to.
--- a/crates/broker/src/upstream/endings.rs
+++ b/crates/broker/src/upstream/endings.rs
@@ -20,12 +20,15 @@
         self.abandon(now, attempt, Outcome::Cancelled);
     }
 
-    /// Ends the unsent attempts of a query that has ended. An attempt of which no byte was written is not
-    /// sent, whether or not the settings let the decision module cancel attempts.
+    /// Ends the unsent attempts of a query that has ended, and forgets which connections carried its parts. An
+    /// attempt of which no byte was written is not sent, whether or not the settings let the decision module
+    /// cancel attempts.
     pub fn withdraw_query(&mut self, now: Micros, query: QueryId) {
         let first = AttemptId { query, part: 0, attempt: 0 };
         let of_query = self.in_flight.range(first..).take_while(|(attempt, _)| attempt.query == query);
         let of_query: Vec<(AttemptId, u64)> = of_query.map(|(attempt, f)| (*attempt, f.connection)).collect();
+        let next_query = AttemptId { query: query + 1, ..first };
+        self.assigned.extract_if(first..next_query, |_, _| true).for_each(drop);
         for (attempt, connection) in of_query {
             if self.connections.get(&connection).is_some_and(|c| c.connection.withdraw(attempt)) {
                 self.end_attempt(now, attempt, Outcome::NotSent, None, None);
@@ -40,14 +43,15 @@
         let unsent = self.connections.get(&id).is_some_and(|c| c.connection.withdraw(attempt));
         let (max_cancelled, dial_timeout) = (self.limits.max_parts_per_connection, self.limits.dial_timeout);
         let mut write_blocked = false;
-        if !unsent {
+        if unsent {
+            self.assigned.remove(&attempt);
+        } else {
             let staged = self.connections.change(id, |pooled| {
                 let entry = pooled.in_flight.iter().find(|(_, other)| *other == attempt);
                 let Some(part) = entry.map(|(part, _)| part.clone()) else { return false };
-                if pooled.cancelled.len() >= max_cancelled {
-                    pooled.cancelled.pop_front();
-                }
                 pooled.cancelled.push_back(part.clone());
+                // What may still be answered is kept, so it is the connection that has to go.
+                pooled.retiring |= pooled.cancelled.len() >= max_cancelled;
                 let overdue = pooled.server.is_overdue(now, sent);
                 let cut = now - sent >= SILENT_DIAL_TIMEOUTS * dial_timeout;
                 let stalled = pooled.partial_since.is_some_and(|at| now.saturating_sub(at) >= STALLED_AFTER);
@@ -239,6 +243,7 @@
             pooled.connection.withdraw_all()
         });
         for attempt in withdrawn.into_iter().flatten() {
+            self.assigned.remove(&attempt);
             self.end_attempt(now, attempt, Outcome::NotSent, None, None);
         }
     }
--- a/crates/broker/src/upstream/mod.rs
+++ b/crates/broker/src/upstream/mod.rs
@@ -93,6 +93,9 @@
     /// Id of the next connection; equals the number of connections dialled.
     next_connection: u64,
     in_flight: BTreeMap<AttemptId, InFlight>,
+    /// The connection that each attempt of the open queries was assigned to. Attempts that were withdrawn
+    /// before a byte of them was written are left out.
+    assigned: BTreeMap<AttemptId, u64>,
     deadlines: BTreeSet<(Micros, AttemptId)>,
     ended: Vec<EndedAttempt>,
     sockets: Rc<Sockets>,
@@ -121,6 +124,7 @@
             connections: ConnectionTable::default(),
             next_connection: 0,
             in_flight: BTreeMap::new(),
+            assigned: BTreeMap::new(),
             deadlines: BTreeSet::new(),
             ended: Vec::new(),
             sockets,
@@ -237,6 +241,7 @@
         };
         for part in &parts {
             self.deadlines.insert((part.deadline, part.attempt));
+            self.assigned.insert(part.attempt, id);
             self.in_flight
                 .insert(part.attempt, InFlight { connection: id, sent: now, deadline: part.deadline });
         }
--- a/crates/broker/src/upstream/tests.rs
+++ b/crates/broker/src/upstream/tests.rs
@@ -1,4 +1,5 @@
 mod counts;
+mod late_answers;
 
 use super::*;
 use crate::inbox::{ConnectionEvent, Input};
