Repeats: a process tells its successor of each attempt at a key's part, not of one

What callers could see: a successor forgot that a part may have run under a key, and served the key's repeat after the window of data servers. Cause: KeyRegister::replay reported one attempt a part, whatever there had been. Its end, `later` for one, then came for the attempt in flight alone, and the successor took it for the end of an earlier one that may have run (or, with second copies, of both). Evidence: on the code before `the_end_of_an_attempt_after_a_replay_is_not_that_of_an_earlier_one` fails with `left: Serve, right: Over`, and `the_end_of_one_of_two_attempts_after_a_replay_is_not_that_of_both` with `left: Serve, right: Busy(2000000)`. Change: the attempts that have ended are reported as one, with an end that may have run, and each attempt in flight on its own. Why this holds: ends that are reported later are counted against the attempts that were reported in flight.

--- a/crates/repeats/src/lib.rs
+++ b/crates/repeats/src/lib.rs
@@ -392,15 +392,15 @@
             }
             for (&shard, part) in &entry.parts {
                 let Some(at) = part.first_sent else { continue };
-                report(key, entry.window, KeyEvent::Sent { shard, at, until: part.may_start_until });
-                // The end of an attempt in flight is reported when it occurs. All other attempts have ended.
-                if part.in_flight == 0 {
-                    report(
-                        key,
-                        entry.window,
-                        KeyEvent::Ended { shard, at: part.may_start_until, proof: Proof::MayRun },
-                    );
+                let until = part.may_start_until;
+                let sent = KeyEvent::Sent { shard, at, until };
+                // The attempts that have ended are reported as one. The end of each attempt in flight is
+                // reported when it occurs, and says nothing about the ones before it.
+                if part.in_flight == 0 || part.may_have_run > 0 || part.sibling_in_flight > 0 {
+                    report(key, entry.window, sent);
+                    report(key, entry.window, KeyEvent::Ended { shard, at: until, proof: Proof::MayRun });
                 }
+                (0..part.in_flight).for_each(|_| report(key, entry.window, sent));
             }
             if entry.open_until.is_none() {
                 report(key, entry.window, KeyEvent::Closed { answered: entry.answered });
--- a/crates/repeats/src/tests.rs
+++ b/crates/repeats/src/tests.rs
@@ -253,6 +253,43 @@
     assert_eq!((register.key_count(), open(&mut register, 1, 3)), (20, Verdict::Busy(WINDOW + WINDOW)));
 }
 
+/// Guards against taking the end of an attempt that is reported after a replay for that of an earlier attempt
+/// at the same part, which may have run.
+#[test]
+fn the_end_of_an_attempt_after_a_replay_is_not_that_of_an_earlier_one() {
+    let mut old = register();
+    open(&mut old, 0, 1);
+    old.attempt_sent(0, &key(1), 0, SECOND);
+    old.attempt_ended(SECOND, &key(1), 0, Proof::MayRun);
+    old.attempt_sent(SECOND, &key(1), 0, 2 * SECOND);
+    let mut new = register();
+    old.replay(|key, window, event| _ = new.apply(SECOND, key, window, event));
+    let (ended, closed) = (
+        KeyEvent::Ended { shard: 0, at: 2 * SECOND, proof: Proof::NeverRan },
+        KeyEvent::Closed { answered: false },
+    );
+    for event in [ended, closed] {
+        assert!(new.apply(2 * SECOND, &key(1), Some(WINDOW), event));
+    }
+    assert_eq!(open(&mut new, WINDOW, 1), Verdict::Over, "the first attempt may have run");
+}
+
+/// The same with two attempts in flight at the replay, of which the first to end never ran.
+#[test]
+fn the_end_of_one_of_two_attempts_after_a_replay_is_not_that_of_both() {
+    let mut old = register();
+    old.allow_hedging(true);
+    open(&mut old, 0, 1);
+    (0..2).for_each(|_| old.attempt_sent(0, &key(1), 0, 2 * SECOND));
+    let mut new = register();
+    old.replay(|key, window, event| _ = new.apply(0, key, window, event));
+    let ended = KeyEvent::Ended { shard: 0, at: 10, proof: Proof::NeverRan };
+    for event in [ended, KeyEvent::Closed { answered: false }] {
+        assert!(new.apply(10, &key(1), Some(WINDOW), event));
+    }
+    assert_eq!(open(&mut new, 20, 1), Verdict::Busy(2 * SECOND), "the other attempt is in flight");
+}
+
 proptest! {
     /// A register to which another one was replayed serves no query that the other one would not serve.
     #[test]
