Upstream: frames that wait and the connection's task in modules of their own

Change: write_item.rs and writer.rs, moved as they were; the queue and the socket stay. No behaviour changes.

--- a/crates/broker/src/upstream/assignment.rs
+++ b/crates/broker/src/upstream/assignment.rs
@@ -1,7 +1,9 @@
 //! Assignment of calls to connections.
 
-use super::connection::{Connection, QueuedPart, WriteItem, run};
+use super::connection::Connection;
 use super::connection_table::{PooledConnection, Server};
+use super::write_item::{QueuedPart, WriteItem};
+use super::writer::run;
 use super::{STALLED_AFTER, Upstream};
 use plover_model::query::AttemptId;
 use plover_model::server::NodeId;
--- a/crates/broker/src/upstream/connection.rs
+++ b/crates/broker/src/upstream/connection.rs
@@ -1,80 +1,19 @@
 //! One connection to a data server: its write queue, the writes that a turn makes itself, and reading.
 
-use super::sockets::{Counts, Sockets, count};
-use crate::inbox::{ConnectionEvent, Inbox, Input, Presence, refresh_presence};
+use super::sockets::{Counts, count};
+use super::write_item::{QueuedPart, WriteItem};
+use crate::inbox::{ConnectionEvent, Presence, refresh_presence};
 use async_channel::{Receiver, Sender};
 use async_io::Async;
-use futures_lite::future::pending;
-use plover_frames::{self as frame, PartId, PartLine};
+use plover_frames as frame;
 use plover_model::query::AttemptId;
 use plover_model::time::Micros;
-use plover_runtime::clock::{Clock, duration, with_timeout};
+use plover_runtime::clock::Clock;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, VecDeque};
 use std::io::{self, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::net::{Shutdown, TcpStream};
 use std::rc::Rc;
-use std::time::Duration;
-
-/// One part with everything that its frame needs.
-pub(super) struct QueuedPart {
-    pub(super) attempt: AttemptId,
-    pub(super) id: PartId,
-    /// Time in milliseconds for which the answer is awaited, as the server is told.
-    pub(super) wait_ms: u64,
-    /// The frame's last byte is written before this time, or the part is not sent.
-    pub(super) write_deadline: Micros,
-    /// The frame's first byte is written before this time too: after it the answer is no longer awaited.
-    pub(super) deadline: Micros,
-    /// The idempotency key; `None` outside a keyed class.
-    pub(super) key: Option<Rc<str>>,
-    pub(super) text: Rc<str>,
-    pub(super) client: Rc<Presence>,
-}
-
-/// One frame to write to a connection.
-pub(super) enum WriteItem {
-    /// A call with its parts.
-    Call(Vec<QueuedPart>),
-    /// The cancellation of a part.
-    Cancel(PartId),
-}
-
-impl WriteItem {
-    /// The parts of a call; empty for a cancellation.
-    fn parts(&self) -> &[QueuedPart] {
-        match self {
-            WriteItem::Call(parts) => parts,
-            WriteItem::Cancel(_) => &[],
-        }
-    }
-
-    fn attempts(&self) -> Vec<AttemptId> {
-        self.parts().iter().map(|p| p.attempt).collect()
-    }
-
-    /// The earliest write deadline of the parts; `Micros::MAX` for a cancellation.
-    fn write_deadline(&self) -> Micros {
-        self.parts().iter().map(|p| p.write_deadline).min().unwrap_or(Micros::MAX)
-    }
-
-    /// Appends the encoded frame to `out`.
-    fn encode(&self, out: &mut Vec<u8>) {
-        match self {
-            WriteItem::Cancel(part) => frame::give_up_into(out, part),
-            WriteItem::Call(parts) => {
-                let lines = parts.iter().map(|p| PartLine {
-                    id: &p.id,
-                    shard: p.id.shard,
-                    wait_ms: p.wait_ms,
-                    key: p.key.as_deref(),
-                    text: &p.text,
-                });
-                frame::call_into(out, lines);
-            }
-        }
-    }
-}
 
 /// The write queue of one connection, and its socket once it is established.
 pub(super) struct Connection {
@@ -340,6 +279,11 @@
         }
     }
 
+    /// Sets the socket of the established connection.
+    pub(super) fn set_socket(&self, socket: Rc<Async<TcpStream>>) {
+        *self.socket.borrow_mut() = Some(socket);
+    }
+
     /// Records when the connection was established.
     pub(super) fn set_connected(&self, now: Micros) {
         self.connected_at.set(now);
@@ -449,89 +393,3 @@
         }
     }
 }
-
-/// Dials the server, then writes the queued frames until a write fails. [`Sockets`] reads from the
-/// connection.
-pub(super) async fn run(
-    id: u64,
-    endpoint: SocketAddr,
-    dial_timeout: Micros,
-    connection: Rc<Connection>,
-    sockets: Rc<Sockets>,
-    inbox: Rc<Inbox>,
-    clock: Clock,
-) {
-    let error = match with_timeout(Duration::from_micros(dial_timeout), Async::<TcpStream>::connect(endpoint))
-        .await
-    {
-        Ok(stream) => {
-            let stream = Rc::new(stream);
-            *connection.socket.borrow_mut() = Some(stream.clone());
-            connection.set_connected(clock.now());
-            let registered = stream.get_ref().set_nodelay(true).and_then(|()| sockets.add(id, &connection));
-            match registered {
-                Ok(()) => write_loop(&stream, id, &connection, &sockets, &inbox, &clock).await,
-                Err(error) => error,
-            }
-        }
-        Err(error) => error,
-    };
-    sockets.end(id, &connection, ConnectionEvent::Closed(error));
-}
-
-/// Writes queued frames until a write fails.
-async fn write_loop(
-    stream: &Async<TcpStream>,
-    id: u64,
-    connection: &Connection,
-    sockets: &Sockets,
-    inbox: &Inbox,
-    clock: &Clock,
-) -> io::Error {
-    loop {
-        let next = connection.next_frame(clock).await;
-        if connection.has_expired() {
-            inbox.put(Input::Connection(id, ConnectionEvent::Expired));
-        }
-        let Some((frame, write_deadline)) = next else { continue };
-        // What was received is read before anything is written, as in a turn's flush.
-        sockets.read(id, connection);
-        if connection.has_ended() {
-            return pending().await;
-        }
-        if let Err(error) = write_before(stream, &frame, write_deadline, clock).await {
-            return error;
-        }
-        connection.frame_written();
-    }
-}
-
-/// Writes a frame. After the write deadline its last byte must not be written, and so nothing else on this
-/// connection either.
-pub(super) async fn write_before(
-    stream: &Async<TcpStream>,
-    mut frame: &[u8],
-    write_deadline: Micros,
-    clock: &Clock,
-) -> io::Result<()> {
-    while !frame.is_empty() {
-        match stream.get_ref().write(frame) {
-            Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
-            Ok(n) => frame = &frame[n..],
-            Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
-                let left = write_deadline.saturating_sub(clock.now());
-                if write_deadline == Micros::MAX {
-                    stream.writable().await?;
-                } else {
-                    with_timeout(duration(left), stream.writable()).await?;
-                }
-                if clock.now() >= write_deadline {
-                    return Err(io::ErrorKind::TimedOut.into());
-                }
-            }
-            Err(error) => return Err(error),
-        }
-    }
-    Ok(())
-}
--- a/crates/broker/src/upstream/endings.rs
+++ b/crates/broker/src/upstream/endings.rs
@@ -1,6 +1,6 @@
 //! How attempts and connections end.
 
-use super::connection::WriteItem;
+use super::write_item::WriteItem;
 use super::{EndedAttempt, InFlight, STALLED_AFTER, Upstream};
 use crate::inbox::ConnectionEvent;
 use plover_frames::FromServer;
--- a/crates/broker/src/upstream/mod.rs
+++ b/crates/broker/src/upstream/mod.rs
@@ -3,20 +3,21 @@
 //! The pool owns each attempt from its dispatch to its one [`EndedAttempt`], and each connection from its
 //! dialling until its task and its socket are dropped. Events of the sockets arrive through the inbox, and
 //! the pool handles them within a turn. `assignment` selects the connection for a call, `endings` ends
-//! attempts and connections, `connection_table` indexes the connections by when they are due, `connection`
-//! and `sockets` read and write.
+//! attempts and connections, `connection_table` indexes the connections by when they are due, `connection`,
+//! `writer` and `sockets` read and write.
 
 mod assignment;
 mod connection;
 mod connection_table;
 mod endings;
 mod sockets;
+mod write_item;
+mod writer;
 
 use crate::inbox::{Inbox, Presence};
 pub use assignment::ConnectionChoice;
 use assignment::OVERDUE_DIAL_DIVISOR;
 use async_executor::{LocalExecutor, Task};
-use connection::{QueuedPart, WriteItem};
 use connection_table::{ConnectionTable, Server};
 use plover_frames::PartId;
 use plover_model::limits::PoolLimits;
@@ -29,6 +30,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use write_item::{QueuedPart, WriteItem};
 
 /// Fraction of the servers' idle time-out after which an idle connection is closed. A part sent while the
 /// server closes the connection would end with a reset, which does not tell whether the part ran.
--- a/crates/broker/src/upstream/tests.rs
+++ b/crates/broker/src/upstream/tests.rs
@@ -484,7 +484,7 @@
         let stream = stream.await.unwrap();
         // More than the system buffers for a peer that does not read.
         let frame = vec![0; 64 << 20];
-        let written = connection::write_before(&stream, &frame, clock.now() + 50_000, &clock);
+        let written = writer::write_before(&stream, &frame, clock.now() + 50_000, &clock);
         let bound = async {
             async_io::Timer::after(std::time::Duration::from_secs(30)).await;
             panic!("the write did not time out");
