--- a/crates/broker/src/coming.rs
+++ b/crates/broker/src/coming.rs
@@ -45,6 +45,7 @@
                 actions.push(Action::RecheckReadiness);
             }
             TurnEvent::Start
+            | TurnEvent::Configurations { .. }
             | TurnEvent::TurnStart(_)
             | TurnEvent::Decided(_)
             | TurnEvent::Reconfigured { .. } => {}
--- a/crates/broker/src/event_loop.rs
+++ b/crates/broker/src/event_loop.rs
@@ -58,6 +58,10 @@
     /// How long this thread has been busy.
     pub(crate) busy: Rc<BusyTime>,
     pub(crate) overhead: OverheadAccounting,
+    /// When new settings were last read on SIGHUP; `None` if they never were.
+    pub(crate) reloaded_at: Option<Micros>,
+    /// Whether another process of this broker may know of configurations that it does not report.
+    pub(crate) has_unknown_configurations: bool,
     /// The optional components that are switched on.
     pub(crate) extensions: Extensions,
 }
@@ -79,6 +83,7 @@
     /// Applies the stored list of servers and starts the extensions, which may block for a bounded time.
     pub(crate) fn start(&mut self, scope: ListScope, known: &Targets) {
         self.apply_list(self.clock.now(), scope, known);
+        self.publish_configurations(self.clock.now(), false);
         let actions = self.extensions.notify(self.clock.now(), TurnEvent::Start);
         self.perform(self.clock.now(), actions);
     }
@@ -181,7 +186,10 @@
                         self.perform(now, actions);
                     }
                 }
-                Input::Reload => self.reload(now),
+                Input::Reload => {
+                    let taken = self.reload(now, true);
+                    self.files.count(taken);
+                }
                 Input::Terminate => self.terminate(now),
                 // The extension has handled it at the start of the turn.
                 Input::Extension => {}
@@ -215,7 +223,7 @@
     }
 
     /// Performs the actions that extensions requested.
-    fn perform(&mut self, now: Micros, actions: Vec<Action>) {
+    pub(crate) fn perform(&mut self, now: Micros, actions: Vec<Action>) {
         self.queries.record_updates(self.extensions.wants_updates());
         for action in actions {
             match action {
@@ -230,7 +238,14 @@
                     self.server_list.apply_drains(now, &snapshot, &mut self.core, &mut self.upstream);
                 }
                 Action::ApplyUpdate(word) => self.queries.apply_update(now, word),
+                Action::AdoptConfigurations { link, older, report } => {
+                    self.adopt_configurations(now, link, older, &report);
+                }
+                Action::SetUnknownConfigurations(unknown) => self.set_unknown_configurations(now, unknown),
                 Action::SetProcessCount(processes) => {
+                    if processes == 1 {
+                        self.doors.fronts.terms().others_ended(now);
+                    }
                     self.core.set_process_count(processes);
                     self.queries.set_process_count(processes);
                     self.room.set_copies(processes);
@@ -341,9 +356,10 @@
         self.server_list.apply(now, scope, targets, &mut self.core, &mut self.upstream);
     }
 
-    /// Reads the configuration again and applies it to each component.
-    fn reload(&mut self, now: Micros) {
-        let Some(Fresh { config, limits, placed }) = self.files.reread(now, &self.core) else { return };
+    /// Reads the configuration again and applies it to each component. `is_told` is whether this process was
+    /// signalled to, and not another one. Returns whether the configuration was valid.
+    pub(crate) fn reload(&mut self, now: Micros, is_told: bool) -> bool {
+        let Some(Fresh { config, limits, placed }) = self.files.reread(now, &self.core) else { return false };
         self.doors.fronts.set_limits(limits);
         let given = Given::new(config.descriptors, config.clients, config.pool.max_connections, &limits);
         self.room.retune(given, &placed.settings, &placed.names, config.max_open);
@@ -357,10 +373,15 @@
         self.perform(now, actions);
         self.core.reconfigure(&placed, config.max_open, now + SETTINGS_EFFECTIVE_AFTER);
         self.upstream.set_limits(config.pool);
-        let previous = self.doors.fronts.change(now, self.files.terms(&placed.settings, &placed.names));
+        let terms = self.files.terms(&placed.settings, &placed.names);
+        let previous = self.doors.fronts.change(now, terms, is_told);
         let classes = config.names.classes.join(",");
         info!(name: "reloaded", discovery = %config.discovery, classes, previous);
         self.discovery.move_to(config.discovery, Times::within(millis(config.settings.list_deadline)));
+        self.assume_strictest_classes(now);
+        self.reloaded_at = Some(now);
+        self.publish_configurations(now, true);
+        true
     }
 
     /// Reports for the attempts that ended since the last turn. Their values stay with their queries and are
--- a/crates/broker/src/extensions.rs
+++ b/crates/broker/src/extensions.rs
@@ -10,8 +10,9 @@
 
 use crate::queries::Queries;
 use plover_core::Core;
-use plover_handover::Siblings;
 use plover_handover::wire::Message;
+use plover_handover::{LinkId, Siblings};
+use plover_model::configuration::ConfigurationReport;
 use plover_model::query::QueryRequest;
 use plover_model::snapshot::Snapshot;
 use plover_model::time::Micros;
@@ -39,6 +40,14 @@
     /// The broker starts; sent once before the first turn. An extension may block the start for a bounded
     /// time.
     Start,
+    /// The configurations that clients may apply have changed, or are known for the first time.
+    Configurations {
+        /// What is known of them.
+        report: &'a ConfigurationReport,
+        /// Whether other processes of this broker are to be told at once, and not only those that come later.
+        /// They know what they have reported themselves.
+        tell: bool,
+    },
     /// A turn begins; nothing has been taken from the inbox yet.
     TurnStart(View<'a>),
     /// Discovery has sent a complete server list.
@@ -67,6 +76,17 @@
 pub(crate) enum Action {
     /// Start from the snapshot of another process of this broker.
     Restore(Box<Snapshot>),
+    /// Decode requests also with the configurations that another process of this broker reported.
+    AdoptConfigurations {
+        /// Link to the process.
+        link: LinkId,
+        /// Whether the process is older than this one.
+        older: bool,
+        /// What it reported.
+        report: Box<ConfigurationReport>,
+    },
+    /// Note whether another process of this broker may know of configurations that it does not report.
+    SetUnknownConfigurations(bool),
     /// Record what another process of this broker did with a key.
     ApplyUpdate(Message),
     /// Set the number of processes of this broker.
--- a/crates/broker/src/front/mod.rs
+++ b/crates/broker/src/front/mod.rs
@@ -28,7 +28,7 @@
 use plover_query::{RequestConfig, RequestConfigHistory, Response, Routed, date_header, route};
 use plover_runtime::clock::Clock;
 use plover_runtime::net;
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, RefCell, RefMut};
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
@@ -197,13 +197,23 @@
         accept::Serve::seats(&*self.http1.front).busy()
     }
 
-    /// Takes other terms, told at this moment. Returns how many earlier ones clients may still go by.
-    pub fn change(&self, at: Micros, terms: RequestConfig) -> usize {
+    /// Takes other terms, of which this process was told at this moment, or of which another one was. Returns how many
+    /// others clients may still go by.
+    pub fn change(&self, at: Micros, terms: RequestConfig, is_told: bool) -> usize {
         let mut history = self.shared.terms.borrow_mut();
-        history.update(at, terms);
+        if is_told {
+            history.update(at, terms);
+        } else {
+            history.reread(at, terms);
+        }
         history.previous_count(at)
     }
 
+    /// What requests are read by, and what may be learned of it from other processes of this broker.
+    pub(crate) fn terms(&self) -> RefMut<'_, RequestConfigHistory> {
+        self.shared.terms.borrow_mut()
+    }
+
     /// Goes by another stage; with [`Stage::CloseIdle`] idle connections are closed. For [`Stage::Closing`] there is
     /// [`Fronts::close`].
     pub fn go(&self, stage: Stage) {
--- a/crates/broker/src/hand_over.rs
+++ b/crates/broker/src/hand_over.rs
@@ -5,6 +5,7 @@
 use crate::neighbours::Sockets;
 use plover_handover::wire::Message;
 use plover_handover::{KeyedSend, Siblings, Update};
+use plover_model::configuration::ConfigurationReport;
 use plover_model::query::QueryRequest;
 use plover_model::time::Micros;
 use plover_runtime::clock::Clock;
@@ -21,11 +22,16 @@
     clock: Clock,
     /// As it was told last.
     copies: u32,
+    /// What is known of the configurations that clients may apply, for processes that come.
+    configurations: ConfigurationReport,
+    /// Whether others may know of further configurations, as it was told last.
+    unknown_configurations: bool,
 }
 
 impl HandOver {
     pub(crate) fn new(sockets: Sockets, clock: Clock) -> Self {
-        HandOver { sockets, clock, copies: 1 }
+        let (configurations, unknown_configurations) = Default::default();
+        HandOver { sockets, clock, copies: 1, configurations, unknown_configurations }
     }
 
     /// Hears out the processes that are there already, before this one says that it serves.
@@ -36,7 +42,9 @@
             let now = self.clock.now();
             news.extend(self.sockets.turn(now));
             for id in self.sockets.owed() {
-                self.sockets.known.send(now, id, &Message::StateSent);
+                for message in [self.configurations_message(), Message::StateSent] {
+                    self.sockets.tell_one(now, id, &message);
+                }
             }
             self.sockets.flush(now);
             if self.sockets.known.is_settled() {
@@ -54,7 +62,8 @@
         if !owed.is_empty() {
             let recall = Message::Snapshot(Box::new(view.core.snapshot(now, view.rev)));
             // What was noted before this is part of all that is known.
-            let words = [recall].into_iter().chain(view.queries.all_updates()).chain([Message::StateSent]);
+            let first = [self.configurations_message(), recall].into_iter();
+            let words = first.chain(view.queries.all_updates()).chain([Message::StateSent]);
             for word in words {
                 owed.iter().for_each(|id| self.sockets.tell_one(now, *id, &word));
             }
@@ -63,15 +72,26 @@
         self.take(news, actions);
     }
 
+    fn configurations_message(&self) -> Message {
+        Message::Configurations(Box::new(self.configurations.clone()))
+    }
+
     fn take(&mut self, news: Vec<Update>, actions: &mut Vec<Action>) {
         for news in news {
             match news {
                 Update::Snapshot(recall) => actions.push(Action::Restore(recall)),
                 Update::Key(word) => actions.push(Action::ApplyUpdate(word)),
+                Update::Configurations { link, older, report } => {
+                    actions.push(Action::AdoptConfigurations { link, older, report });
+                }
                 Update::Joined(older) => info!(name: "hand_over_joined", older),
                 Update::Gone => {}
             }
         }
+        let unknown = self.sockets.known.has_unknown_configurations();
+        if std::mem::replace(&mut self.unknown_configurations, unknown) != unknown {
+            actions.push(Action::SetUnknownConfigurations(unknown));
+        }
         let copies = self.sockets.known.process_count();
         if std::mem::replace(&mut self.copies, copies) != copies {
             actions.push(Action::SetProcessCount(copies));
@@ -89,6 +109,13 @@
                 words.iter().for_each(|word| self.sockets.tell(now, word));
                 self.sockets.flush(now);
             }
+            TurnEvent::Configurations { report, tell } => {
+                self.configurations.clone_from(report);
+                if tell && self.sockets.has_told() {
+                    self.sockets.tell(now, &self.configurations_message());
+                    self.sockets.flush(now);
+                }
+            }
             TurnEvent::Reconfigured { quarantine } => self.sockets.known.set_quarantine(quarantine),
             TurnEvent::WholeList
             | TurnEvent::InputTaken(_)
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -22,4 +22,5 @@
 mod room;
 pub mod run;
 mod server_list;
+mod sibling_configurations;
 pub mod upstream;
--- a/crates/broker/src/queries.rs
+++ b/crates/broker/src/queries.rs
@@ -241,9 +241,11 @@
             Message::KeyClosed { key, answered, key_owner, .. } => {
                 (key, key_owner, KeyEvent::Closed { answered })
             }
-            Message::Snapshot(_) | Message::StateSent | Message::Opened { .. } | Message::Closed { .. } => {
-                return;
-            }
+            Message::Snapshot(_)
+            | Message::StateSent
+            | Message::Opened { .. }
+            | Message::Closed { .. }
+            | Message::Configurations(_) => return,
         };
         let key = IdempotencyKey { text: key.into(), owner: key_owner.owner.into() };
         if !self.key_register.apply(now, &key, key_owner.window, event) {
@@ -259,12 +261,17 @@
     /// Applies new settings to queries that arrive from now on. Open queries keep the settings under which
     /// they were admitted.
     pub(crate) fn reconfigure(&mut self, settings: &Settings, names: &Names, capacity: usize) {
-        let (max_window, max_wait) = repeat_times(settings);
-        self.key_register.reconfigure(max_window, max_wait);
+        self.reindex(settings, names);
         self.key_register.allow_hedging(settings.hedging);
-        self.windows = windows(settings);
         self.shares.set_capacity(capacity);
         self.max_retry_after = settings.max_retry_after.map(millis);
+    }
+
+    /// Takes the indices of classes and tenants from settings that may hold further ones.
+    pub(crate) fn reindex(&mut self, settings: &Settings, names: &Names) {
+        let (max_window, max_wait) = repeat_times(settings);
+        self.key_register.reconfigure(max_window, max_wait);
+        self.windows = windows(settings);
         self.class_counters = names.classes.iter().map(|name| self.counters.class_counter(name)).collect();
         self.names.clone_from(names);
     }
--- a/crates/broker/src/reload.rs
+++ b/crates/broker/src/reload.rs
@@ -64,6 +64,11 @@
         divide(self.clients, self.operator.http2())
     }
 
+    /// Counts a file that was taken or turned down at SIGHUP.
+    pub(crate) fn count(&mut self, taken: bool) {
+        *if taken { &mut self.taken } else { &mut self.turned_down } += 1;
+    }
+
     /// Takes the configuration and the operator's file as they are now: both or none. A file that is missing or
     /// faulty leaves all as it was: a slip of the pen must not end a broker that serves.
     pub(crate) fn reread(&mut self, now: Micros, core: &Core) -> Option<Fresh> {
@@ -75,11 +80,9 @@
                 }
                 fresh.config.notes.iter().for_each(|note| warn!(name: "settings_noted", note));
                 self.in_force.clone_from(&fresh.config.in_force);
-                self.taken += 1;
                 Some(fresh)
             }
             Err(error) => {
-                self.turned_down += 1;
                 warn!(name: "reload_failed", error = %error);
                 None
             }
--- a/crates/broker/src/run.rs
+++ b/crates/broker/src/run.rs
@@ -178,6 +178,8 @@
         refusals_logged: 0,
         busy,
         overhead: OverheadAccounting::default(),
+        reloaded_at: None,
+        has_unknown_configurations: false,
         extensions,
     };
     broker.start(ListScope::Cached, &config.known);
--- a/crates/brookbend/src/api.rs
+++ b/crates/brookbend/src/api.rs
@@ -2,6 +2,7 @@
 //!
 //! It contains no decisions. Times are milliseconds of the caller's clock.
 
+use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::sync::Arc;
 
@@ -50,7 +51,7 @@
 pub struct TenantIndex(pub usize);
 
 /// Effect of executing a part more than once.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Semantics {
     /// Repeated execution is harmless.
     Safe,
@@ -64,7 +65,7 @@
 }
 
 /// Settings of one class of query.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Class {
     /// Latency target in milliseconds: an answer within this time earns its full worth.
     pub aim: Millis,
--- a/crates/core/src/index_table.rs
+++ b/crates/core/src/index_table.rs
@@ -9,6 +9,7 @@
 
 use brookbend::NewClass;
 use brookbend::api::{Class, ClassIndex, Settings, Tenant};
+use plover_model::configuration::NamedClass;
 use plover_model::query::Names;
 use plover_model::time::{Micros, SECOND, millis};
 use std::collections::BTreeSet;
@@ -79,6 +80,24 @@
     table: IndexTable,
 }
 
+impl IndexedSettings {
+    /// Returns the names by which only these classes and tenants are current. They have to be in the table.
+    pub fn names_of(&self, classes: &[NamedClass], tenants: &[String]) -> Names {
+        let is_class = |e: &Entry<Class>| classes.iter().any(|c| c.name == e.name && c.class == e.settings);
+        let is_tenant = |e: &Entry<Tenant>| tenants.contains(&e.name);
+        Names {
+            removed_classes: indices_without(&self.table.classes, is_class),
+            removed_tenants: indices_without(&self.table.tenants, is_tenant),
+            ..self.names.clone()
+        }
+    }
+}
+
+/// Returns the indices of all entries that are not as described.
+fn indices_without<T>(entries: &[Entry<T>], is_described: impl Fn(&Entry<T>) -> bool) -> BTreeSet<usize> {
+    (0..entries.len()).filter(|i| !is_described(&entries[*i])).collect()
+}
+
 /// The tenant of all queries if the settings name no tenants. It has no name, and a quota that is never
 /// exceeded.
 const IMPLICIT_TENANT: (&str, Tenant) = ("", Tenant { quota_per_s: 1e9 });
@@ -186,7 +205,49 @@
         mark_removed(&mut table.tenants, now, &current);
         Ok(IndexedSettings {
             settings: table.settings(now, new),
-            names: table.names(names),
+            names: table.names(&names.zones),
+            new_tenants,
+            indexed_at: now,
+            new_classes,
+            table,
+        })
+    }
+
+    /// Computes the indices of classes and tenants that another process reported, without changing this
+    /// table. Those that are not current count as removed now.
+    pub(crate) fn plan_reported(
+        &self,
+        now: Micros,
+        current: &Settings,
+        zones: &[String],
+        classes: &[NamedClass],
+        tenants: &[String],
+    ) -> Result<IndexedSettings, TooManyIndices> {
+        let mut table = self.clone();
+        let mut new_classes = Vec::new();
+        for NamedClass { name, class } in classes {
+            let same = table.classes.iter_mut().find(|e| e.name == *name && e.settings == *class);
+            if let Some(entry) = same {
+                entry.removed_at = entry.removed_at.map(|_| now);
+                continue;
+            }
+            let by_name = table.classes.iter().position(|e| e.removed_at.is_none() && e.name == *name);
+            let entry = Entry { removed_at: Some(now), ..Entry::new(name, class.clone()) };
+            let index = assign_index(&mut table.classes, now, entry).ok_or(TooManyIndices("classes"))?;
+            new_classes.push(NewClass { class: ClassIndex(index), inherits_from: by_name.map(ClassIndex) });
+        }
+        let mut new_tenants = Vec::new();
+        for name in tenants {
+            if let Some(entry) = table.tenants.iter_mut().find(|e| e.name == *name) {
+                entry.removed_at = entry.removed_at.map(|_| now);
+                continue;
+            }
+            let entry = Entry { removed_at: Some(now), ..Entry::new(name, IMPLICIT_TENANT.1) };
+            new_tenants.push(assign_index(&mut table.tenants, now, entry).ok_or(TooManyIndices("tenants"))?);
+        }
+        Ok(IndexedSettings {
+            settings: table.settings(now, current),
+            names: table.names(zones),
             new_tenants,
             indexed_at: now,
             new_classes,
@@ -211,14 +272,14 @@
         }
     }
 
-    fn names(&self, new: &Names) -> Names {
+    fn names(&self, zones: &[String]) -> Names {
         fn removed<T>(entries: &[Entry<T>]) -> BTreeSet<usize> {
             (0..entries.len()).filter(|i| entries[*i].removed_at.is_some()).collect()
         }
         Names {
             classes: self.classes.iter().map(|e| e.name.clone()).collect(),
             tenants: self.tenants.iter().map(|e| e.name.clone()).collect(),
-            zones: new.zones.clone(),
+            zones: zones.to_vec(),
             removed_classes: removed(&self.classes),
             removed_tenants: removed(&self.tenants),
         }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,6 +17,7 @@
 use brookbend::retry_advice::retry_after_when_full;
 use brookbend::view::{OutcomeCounts, ServerView};
 use index_table::IndexTable;
+use plover_model::configuration::{NamedClass, PreviousLimits};
 use plover_model::query::{AttemptId, Names, PartSpec, QueryId, QueryLimits};
 use plover_model::server::{ListScope, NodeId, Outcome, ServerInfo, ServerStatus};
 use plover_model::snapshot::Snapshot;
@@ -165,21 +166,12 @@
     finish_by: Micros,
     /// Limits of the previous settings. Until the new settings take effect, the stricter of both apply.
     previous_limits: Option<PreviousLimits>,
+    /// Time until which it is unknown which settings clients apply. Parts then get a single attempt.
+    unknown_until: Micros,
     /// Time at which the settings are computed again because a removed class may be unused by then.
     retention_check_at: Option<Micros>,
 }
 
-/// Limits of the settings that were in force before a change.
-#[derive(Clone, Copy)]
-struct PreviousLimits {
-    /// Time at which the new settings take effect.
-    until: Micros,
-    /// Maximum number of attempts at a part.
-    max_attempts: u32,
-    /// Longest time that a client waits.
-    max_client_timeout: Micros,
-}
-
 impl Core {
     /// Creates a core with at most `max_units` open queries and parts together.
     pub fn new(settings: Settings, max_units: usize, seed: u64) -> Self {
@@ -187,6 +179,7 @@
             index_table: IndexTable::new(&settings, &Names::default()),
             finish_by: Micros::MAX,
             previous_limits: None,
+            unknown_until: 0,
             retention_check_at: None,
             aggregator: Aggregator::new(settings.clone(), seed),
             settings,
@@ -220,24 +213,74 @@
         self.index_table.plan(now, settings, names)
     }
 
+    /// Computes the indices of classes and tenants that another process of this broker reported. This changes
+    /// nothing; pass the result to [`Core::adopt_reported`] to apply it.
+    pub fn index_reported(
+        &self,
+        now: Micros,
+        zones: &[String],
+        classes: &[NamedClass],
+        tenants: &[String],
+    ) -> Result<IndexedSettings, TooManyIndices> {
+        self.index_table.plan_reported(now, &self.settings, zones, classes, tenants)
+    }
+
     /// Applies new settings, as indexed by [`Core::index_settings`], to queries that arrive from now on.
     /// Learned state of servers is kept. Until `effective_at` the limits of the previous settings also apply
     /// where they are stricter.
     pub fn reconfigure(&mut self, indexed: &IndexedSettings, max_units: usize, effective_at: Micros) {
         // A second change before the first has taken effect must not lift the limits that the first one still
         // keeps.
-        let pending = self.previous_limits.filter(|limits| indexed.indexed_at < limits.until);
-        let (max_attempts, max_timeout) = (self.settings.max_attempts, self.index_table.max_client_timeout());
-        self.previous_limits = Some(PreviousLimits {
-            until: effective_at,
-            max_attempts: pending.map_or(max_attempts, |limits| limits.max_attempts.min(max_attempts)),
-            max_client_timeout: pending
-                .map_or(max_timeout, |limits| limits.max_client_timeout.min(max_timeout)),
-        });
+        let replaced = self.strictest_limits(indexed.indexed_at, effective_at);
+        self.previous_limits = Some(replaced);
+        self.max_units = max_units;
+        self.apply_indexed(indexed);
+    }
+
+    /// Adds classes and tenants that another process of this broker reported, as indexed by
+    /// [`Core::index_reported`]. Requests may be decoded with them; the settings in force do not change.
+    pub fn adopt_reported(&mut self, indexed: &IndexedSettings) {
+        self.apply_indexed(indexed);
+    }
+
+    /// Applies limits of settings that another process of this broker knows, in addition to those that hold
+    /// here.
+    pub fn adopt_limits(&mut self, now: Micros, limits: PreviousLimits) {
+        let pending = self.previous_limits(now);
+        self.previous_limits = Some(pending.map_or(limits, |pending| pending.stricter_of(limits)));
+    }
+
+    /// Returns the limits of the settings in force, or those of earlier ones where they are stricter and
+    /// still hold. They are to hold until the given time, or for as long as the earlier ones.
+    pub fn strictest_limits(&self, now: Micros, until: Micros) -> PreviousLimits {
+        let current = PreviousLimits {
+            until,
+            max_attempts: self.settings.max_attempts,
+            max_client_timeout: self.index_table.max_client_timeout(),
+        };
+        self.previous_limits(now).map_or(current, |previous| previous.stricter_of(current))
+    }
+
+    /// Returns the limits of earlier settings that still hold.
+    fn previous_limits(&self, now: Micros) -> Option<PreviousLimits> {
+        self.previous_limits.filter(|limits| now < limits.until)
+    }
+
+    /// Sets the time until which it is unknown which settings clients apply.
+    pub fn set_unknown_until(&mut self, at: Micros) {
+        self.unknown_until = at;
+    }
+
+    /// Returns the maximum number of attempts at a part that the settings in force do not say.
+    fn previous_max_attempts(&self, now: Micros) -> Option<u32> {
+        let unknown = (now < self.unknown_until).then_some(1);
+        unknown.or_else(|| self.previous_limits(now).map(|limits| limits.max_attempts))
+    }
+
+    fn apply_indexed(&mut self, indexed: &IndexedSettings) {
         self.index_table.apply(indexed);
         self.retention_check_at = self.index_table.next_retention_check(indexed.indexed_at);
         self.settings = indexed.settings.clone();
-        self.max_units = max_units;
         self.aggregator.reconfigure(self.shared_settings(), &indexed.new_classes);
         self.aggregator.reset_tenants(&indexed.new_tenants);
     }
@@ -259,8 +302,7 @@
     /// Returns the longest time that a client of any current class waits. Until new settings take effect, it
     /// is the shorter one of the previous and the new settings.
     pub fn max_client_timeout(&self, now: Micros) -> Micros {
-        let previous =
-            self.previous_limits.filter(|limits| now < limits.until).map(|limits| limits.max_client_timeout);
+        let previous = self.previous_limits(now).map(|limits| limits.max_client_timeout);
         previous.into_iter().chain([self.index_table.max_client_timeout()]).min().unwrap_or(0)
     }
 
@@ -377,8 +419,7 @@
             return Decisions::default();
         }
         let mut refused = Vec::new();
-        let previous_max_attempts =
-            self.previous_limits.filter(|limits| now < limits.until).map(|limits| limits.max_attempts);
+        let previous_max_attempts = self.previous_max_attempts(now);
         for query in queries {
             let units = 1 + query.parts.len();
             if self.units_in_use + self.sibling_units + units > self.max_units {
--- a/crates/handover/src/siblings.rs
+++ b/crates/handover/src/siblings.rs
@@ -1,19 +1,20 @@
 //! What one process of a broker knows of its siblings, and whether it may therefore send parts of keyed
 //! classes.
 
-use crate::wire::{FrameReader, Greeting, Message, ProtocolError, encode_greeting, encode_message};
+mod link;
+
+use crate::wire::{Greeting, Message, ProtocolError};
+use link::{Link, State};
+use plover_model::configuration::ConfigurationReport;
 use plover_model::snapshot::Snapshot;
 use plover_model::time::{MILLI, Micros, SECOND};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
 /// Number of a link (a connection to a sibling). Numbers are never reused.
 pub type LinkId = u64;
 
 /// Maximum number of links at a time. One is usual, two if a third process starts during a handover.
 pub const MAX_LINKS: usize = 4;
-/// Maximum number of bytes waiting to be written to a sibling: the longest message and the keys of all open
-/// queries.
-const MAX_UNSENT_BYTES: usize = 32 << 20;
 
 /// Identity of this process, which it sends to each sibling as its greeting.
 pub type LocalProcess = Greeting;
@@ -52,6 +53,15 @@
     Joined(bool),
     /// State that the sibling has learned about servers and classes.
     Snapshot(Box<Snapshot>),
+    /// The configurations that clients of the sibling may apply, in place of what it reported before.
+    Configurations {
+        /// Link of the sibling.
+        link: LinkId,
+        /// Whether the sibling is older than this process.
+        older: bool,
+        /// What it reported.
+        report: Box<ConfigurationReport>,
+    },
     /// A message about an idempotency key, to be applied to the key register unchanged.
     Key(Message),
     /// The link has ended, and with it all queries that the sibling had open. Attempts under their keys may
@@ -59,36 +69,6 @@
     Gone,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-enum State {
-    /// No greeting has arrived yet. Holds the time at which the link was opened.
-    AwaitingGreeting(Micros),
-    /// The sibling is sending the state that it had before. Holds the time at which its greeting arrived.
-    Synchronizing(Micros),
-    /// The sibling has sent all of its earlier state and reports each change.
-    Joined,
-    /// The sibling is alive, but it is not understood, is late, or could not be sent a message. What it sends
-    /// to data servers is unknown.
-    Unknown,
-}
-
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct Link {
-    state: State,
-    reader: FrameReader,
-    /// Process id of the sibling, as the operating system reports it.
-    pid: u32,
-    /// Greeting of the sibling; `None` until it has arrived.
-    peer: Option<Greeting>,
-    /// Bytes that have not been written yet.
-    unsent: VecDeque<u8>,
-    /// Time of the last write, or at which the first of the unsent bytes was queued if that is later.
-    unsent_since: Micros,
-    /// Open queries of the sibling by request id: the units that each uses, and the section of the operator's
-    /// file that counts it.
-    open_queries: BTreeMap<String, (u32, Option<String>)>,
-}
-
 /// All siblings of a process.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Siblings {
@@ -141,17 +121,7 @@
         if self.links.len() >= MAX_LINKS {
             return false;
         }
-        let unsent = encode_greeting(&self.local).into();
-        let link = Link {
-            state: State::AwaitingGreeting(now),
-            reader: FrameReader::default(),
-            pid,
-            peer: None,
-            unsent,
-            unsent_since: now,
-            open_queries: BTreeMap::new(),
-        };
-        self.links.insert(id, link);
+        self.links.insert(id, Link::new(now, pid, &self.local));
         true
     }
 
@@ -192,7 +162,7 @@
             link.peer = Some(greeting);
             link.state = State::Synchronizing(now);
         }
-        let older = link.peer.as_ref().is_some_and(|p| is_older(p, &self.local));
+        let older = link.is_older_than(&self.local);
         while let Some(message) = link.reader.read_message()? {
             match message {
                 // A newer sibling has learned nothing that is not known here.
@@ -204,7 +174,10 @@
                 }
                 Message::Opened { id, units, owner } => _ = link.open_queries.insert(id, (units, owner)),
                 Message::Closed { id } => _ = link.open_queries.remove(&id),
-                key_message => updates.push(Update::Key(key_message)),
+                Message::Configurations(report) => {
+                    updates.push(Update::Configurations { link: id, older, report });
+                }
+                key_message => updates.push(Update::Key(link.as_far_as_certain(key_message))),
             }
         }
         Ok(())
@@ -215,20 +188,12 @@
     /// message if the state was unknown before or the link has ended.
     pub fn send(&mut self, now: Micros, id: LinkId, message: &Message) -> bool {
         let Some(link) = self.links.get_mut(&id).filter(|l| l.state != State::Unknown) else { return true };
-        match encode_message(message) {
-            Some(frame) if link.unsent.len() + frame.len() <= MAX_UNSENT_BYTES => {
-                if link.unsent.is_empty() {
-                    link.unsent_since = now;
-                }
-                link.unsent.extend(frame);
-                true
-            }
+        let is_queued = link.queue(now, message);
+        if !is_queued {
             // The sibling does not learn what could not be queued.
-            _ => {
-                link.state = State::Unknown;
-                false
-            }
+            link.state = State::Unknown;
         }
+        is_queued
     }
 
     /// Returns the links whose greeting has arrived. Each of them is to be sent all known state once,
@@ -258,7 +223,7 @@
     /// process of the sibling is still running.
     pub fn link_lost(&mut self, now: Micros, id: LinkId, alive: bool) -> Vec<Update> {
         let Some(link) = self.links.remove(&id) else { return Vec::new() };
-        let newer = link.peer.as_ref().is_some_and(|p| !is_older(p, &self.local));
+        let newer = link.is_newer_than(&self.local);
         let unknown = match link.state {
             // A sibling that closed the link while this process was paused has sent parts that it could not
             // report.
@@ -336,7 +301,7 @@
         // A newer sibling sends nothing before it has received all that is known here.
         let reported = |l: &Link| match l.state {
             State::Joined => true,
-            State::Synchronizing(_) => l.peer.as_ref().is_some_and(|p| !is_older(p, &self.local)),
+            State::Synchronizing(_) => l.is_newer_than(&self.local),
             State::AwaitingGreeting(_) | State::Unknown => false,
         };
         let synchronized = |l: &Link| reported(l) && l.unsent.is_empty();
@@ -353,8 +318,13 @@
 
     /// Returns whether a newer sibling has joined and therefore serves.
     pub fn has_newer(&self) -> bool {
-        let newer = |l: &Link| l.peer.as_ref().is_some_and(|p| !is_older(p, &self.local));
-        self.links.values().any(|l| l.state == State::Joined && newer(l))
+        self.links.values().any(|l| l.state == State::Joined && l.is_newer_than(&self.local))
+    }
+
+    /// Returns whether a sibling may serve requests of clients that apply configurations which it has not
+    /// reported.
+    pub fn has_unknown_configurations(&self) -> bool {
+        !self.disconnected.is_empty() || self.links.values().any(Link::has_unknown_configurations)
     }
 
     /// Returns whether a sibling has an open query with this request id.
@@ -380,176 +350,5 @@
     }
 }
 
-/// Returns whether `a` started before `b`. Of two that started at the same time, the lower process id is the
-/// older.
-fn is_older(a: &Greeting, b: &Greeting) -> bool {
-    (a.started, a.pid) < (b.started, b.pid)
-}
-
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::wire::KeyOwner;
-
-    fn process(started: Micros) -> Siblings {
-        let local = Greeting { name: "n0".into(), started, pid: started as u32 };
-        Siblings::new(local, Timeouts::default())
-    }
-
-    /// Moves the unsent bytes of one process to the other, and returns the updates that they cause there.
-    fn deliver(now: Micros, from: &mut Siblings, to: &mut Siblings) -> Vec<Update> {
-        let bytes = from.unsent(1).to_vec();
-        from.written(now, 1, bytes.len());
-        let (updates, error) = to.received(now, 1, &bytes);
-        assert_eq!(error, None);
-        updates
-    }
-
-    fn joined() -> (Siblings, Siblings) {
-        let (mut old, mut new) = (process(1), process(2));
-        assert!(old.connected(10, 1, 2) && new.connected(10, 1, 2));
-        assert!(deliver(10, &mut old, &mut new).is_empty() && deliver(10, &mut new, &mut old).is_empty());
-        for process in [&mut old, &mut new] {
-            assert_eq!(process.greeted_links(), [1]);
-            process.send(10, 1, &Message::StateSent);
-        }
-        assert_eq!(deliver(10, &mut old, &mut new), [Update::Joined(true)]);
-        assert_eq!(deliver(10, &mut new, &mut old), [Update::Joined(false)]);
-        assert_eq!((old.keyed_send(10), new.keyed_send(10)), (KeyedSend::Allowed, KeyedSend::Allowed));
-        (old, new)
-    }
-
-    #[test]
-    fn a_query_open_in_one_process_counts_in_the_other() {
-        let (mut old, mut new) = joined();
-        old.send(11, 1, &Message::Opened { id: "q".into(), units: 4, owner: Some("defaults".into()) });
-        assert_eq!(
-            old.keyed_send(11),
-            KeyedSend::Wait(Micros::MAX),
-            "the new process has not received the message yet"
-        );
-        deliver(11, &mut old, &mut new);
-        assert!(new.has_open_query("q") && !new.has_open_query("r"));
-        assert_eq!(
-            (
-                new.open_units(),
-                new.open_queries_of("defaults"),
-                new.open_queries_of("x"),
-                new.process_count()
-            ),
-            (4, 1, 0, 2)
-        );
-        old.send(12, 1, &Message::Closed { id: "q".into() });
-        deliver(12, &mut old, &mut new);
-        assert_eq!((new.has_open_query("q"), new.open_units()), (false, 0));
-    }
-
-    #[test]
-    fn the_new_process_goes_on_after_the_old_one_ended() {
-        let (_, mut new) = joined();
-        assert_eq!(new.link_lost(20, 1, false), [Update::Gone]);
-        assert_eq!((new.keyed_send(20), new.process_count()), (KeyedSend::Allowed, 1));
-    }
-
-    /// New settings with longer windows, or with clients that retry for longer, take effect while the process
-    /// runs.
-    #[test]
-    fn the_quarantine_is_that_of_the_current_settings() {
-        let mut siblings = process(1);
-        siblings.connected(0, 1, 2);
-        siblings.set_quarantine(90 * SECOND);
-        siblings.link_lost(10, 1, false);
-        assert_eq!(siblings.keyed_send(20 * SECOND), KeyedSend::Wait(10 + 90 * SECOND));
-    }
-
-    /// Both processes are alive and have lost their link: only one of them goes on.
-    #[test]
-    fn the_older_of_two_disconnected_processes_stops_sending() {
-        let (mut old, mut new) = joined();
-        old.link_lost(20, 1, true);
-        new.link_lost(20, 1, true);
-        assert_eq!(
-            (old.keyed_send(20), new.keyed_send(20)),
-            (KeyedSend::Wait(Micros::MAX), KeyedSend::Allowed)
-        );
-        assert_eq!((old.disconnected(), old.process_count()), ([2].as_slice(), 2));
-        old.process_ended(30, 2);
-        let until = 30 + Timeouts::default().quarantine;
-        assert_eq!((old.keyed_send(31), old.keyed_send(until)), (KeyedSend::Wait(until), KeyedSend::Allowed));
-    }
-
-    /// After a greeting of another version, a greeting of another broker, noise or silence, it is unknown
-    /// what the sibling sends while it is alive and which keys its clients retry here afterwards.
-    #[test]
-    fn a_sibling_that_is_not_understood_blocks_keyed_sends() {
-        let with_sibling = |bytes: Option<&[u8]>| {
-            let mut siblings = process(1);
-            siblings.connected(0, 1, 2);
-            if let Some(bytes) = bytes {
-                assert!(siblings.received(1, 1, bytes).1.is_some());
-            }
-            siblings.tick(Timeouts::default().greeting);
-            siblings
-        };
-        let mut other_version = encode_greeting(&Greeting { name: "n0".into(), started: 9, pid: 9 });
-        other_version[9] = 7;
-        let other_broker = encode_greeting(&Greeting { name: "n1".into(), started: 9, pid: 9 });
-        for bytes in [None, Some(other_version.as_slice()), Some(&other_broker), Some(b"\0\0\0\x07garbage")] {
-            let mut siblings = with_sibling(bytes);
-            assert_eq!(
-                (siblings.keyed_send(SECOND), siblings.is_settled()),
-                (KeyedSend::Wait(Micros::MAX), true),
-                "{bytes:?}"
-            );
-            siblings.link_lost(2 * SECOND, 1, false);
-            let until = 2 * SECOND + Timeouts::default().quarantine;
-            assert_eq!(
-                (siblings.keyed_send(until - 1), siblings.keyed_send(until)),
-                (KeyedSend::Wait(until), KeyedSend::Allowed)
-            );
-        }
-    }
-
-    #[test]
-    fn the_link_to_a_sibling_that_reads_nothing_is_closed() {
-        let (mut old, _) = joined();
-        old.send(100, 1, &Message::Closed { id: "q".into() });
-        let stall = Timeouts::default().stall;
-        assert!(old.tick(99 + stall).is_empty());
-        assert_eq!(old.tick(100 + stall), [1]);
-        // The unsent bytes are limited: a message that does not fit is not queued.
-        let (mut old, _) = joined();
-        let long = Message::KeyOpened { key: "k".repeat(1 << 19), until: 0, key_owner: KeyOwner::default() };
-        let rejected = (0..MAX_UNSENT_BYTES / (1 << 19) + 1).filter(|_| !old.send(100, 1, &long)).count();
-        assert_eq!(rejected, 1, "only the first message that does not fit is reported");
-        assert!(old.unsent(1).len() <= MAX_UNSENT_BYTES);
-        assert_eq!(
-            (old.keyed_send(100), old.links[&1].state.clone()),
-            (KeyedSend::Wait(Micros::MAX), State::Unknown)
-        );
-    }
-
-    /// A newer process that ends before it has joined has sent nothing.
-    #[test]
-    fn a_new_process_that_ends_before_joining_causes_no_quarantine() {
-        let (mut old, mut new) = (process(1), process(2));
-        assert!(old.connected(10, 1, 2) && new.connected(10, 1, 2));
-        deliver(10, &mut new, &mut old);
-        old.link_lost(20, 1, false);
-        assert_eq!((old.keyed_send(20), old.process_count()), (KeyedSend::Allowed, 1));
-        deliver(10, &mut old, &mut new);
-        new.link_lost(20, 1, false);
-        assert_eq!(
-            new.keyed_send(20),
-            KeyedSend::Wait(20 + Timeouts::default().quarantine),
-            "it is unknown what the old process sent"
-        );
-    }
-
-    #[test]
-    fn connections_beyond_the_maximum_are_rejected() {
-        let mut siblings = process(1);
-        assert!((0..MAX_LINKS as u64).all(|id| siblings.connected(0, id, 2)));
-        assert!(!siblings.connected(0, 99, 2));
-    }
-}
+mod tests;
--- a/crates/handover/src/wire.rs
+++ b/crates/handover/src/wire.rs
@@ -2,9 +2,14 @@
 //!
 //! A frame is the length of its body (four bytes, most significant first, at most [`MAX_FRAME_LENGTH`]) and
 //! the body. The first frame of each side is its greeting: [`MAGIC`], the version (two bytes, most
-//! significant first), and then whatever that version defines. Each later frame holds one [`Message`] in
-//! postcard encoding (postcard.jamesmunns.com, wire format 1.0).
+//! significant first), the [`Greeting`] and the [`Features`] of the sender. Each later frame holds one
+//! [`Message`]. Greetings, features and messages are in postcard encoding (postcard.jamesmunns.com, wire
+//! format 1.0).
+//!
+//! Processes of earlier releases end their greeting before the features and ignore what follows it. They have
+//! none of the features, and are sent no message that needs one.
 
+use plover_model::configuration::ConfigurationReport;
 use plover_model::query::Proof;
 use plover_model::snapshot::Snapshot;
 use plover_model::time::Micros;
@@ -30,6 +35,25 @@
     pub pid: u32,
 }
 
+/// Extensions of the protocol that a process has, as a sum of bits.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Features(u32);
+
+impl Features {
+    /// No extension, as processes of earlier releases.
+    pub const NONE: Features = Features(0);
+    /// The process sends [`Message::Configurations`], and reports each attempt at a part on its own.
+    pub const CONFIGURATIONS: Features = Features(1);
+
+    /// Whether all of these extensions are there.
+    pub fn contains(self, other: Features) -> bool {
+        self.0 & other.0 == other.0
+    }
+}
+
+/// Extensions that this process has.
+pub const FEATURES: Features = Features::CONFIGURATIONS;
+
 /// Owner of an idempotency key. It is the last field of its messages, and processes of earlier releases do
 /// not have it: they ignore it when they receive it, and their own messages are read with a default owner.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -118,6 +142,9 @@
         #[serde(rename = "whose")]
         key_owner: KeyOwner,
     },
+    /// The configurations that clients may apply. It replaces an earlier one of the sender, and needs
+    /// [`Features::CONFIGURATIONS`].
+    Configurations(Box<ConfigurationReport>),
 }
 
 /// Error in the bytes that a sibling sent.
@@ -137,14 +164,22 @@
     InvalidMessage,
 }
 
-/// Encodes a greeting as a complete frame.
+/// Encodes a greeting and the features of this process as a complete frame.
 pub fn encode_greeting(greeting: &Greeting) -> Vec<u8> {
     let mut body = MAGIC.to_vec();
     body.extend(VERSION.to_be_bytes());
     body.extend(postcard::to_allocvec(greeting).unwrap_or_default());
+    body.extend(postcard::to_allocvec(&FEATURES).unwrap_or_default());
     frame(&body)
 }
 
+/// Decodes what follows the version in a greeting.
+fn decode_greeting(body: &[u8]) -> postcard::Result<(Greeting, Features)> {
+    let (greeting, rest) = postcard::take_from_bytes(body)?;
+    let features = if rest.is_empty() { Features::NONE } else { postcard::from_bytes(rest)? };
+    Ok((greeting, features))
+}
+
 /// Encodes a message as a complete frame. Returns `None` if its body is longer than [`MAX_FRAME_LENGTH`].
 pub fn encode_message(message: &Message) -> Option<Vec<u8>> {
     postcard::to_allocvec(message).ok().filter(|body| body.len() <= MAX_FRAME_LENGTH).map(|body| frame(&body))
@@ -161,6 +196,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct FrameReader {
     input: Vec<u8>,
+    features: Features,
 }
 
 impl FrameReader {
@@ -193,11 +229,21 @@
             return Err(ProtocolError::InvalidMessage);
         };
         match u16::from_be_bytes(*version) {
-            VERSION => postcard::from_bytes(body).map(Some).map_err(|_| ProtocolError::InvalidMessage),
+            VERSION => {
+                let decoded = decode_greeting(body).map_err(|_| ProtocolError::InvalidMessage);
+                let (greeting, features) = decoded?;
+                self.features = features;
+                Ok(Some(greeting))
+            }
             other => Err(ProtocolError::UnsupportedVersion(other)),
         }
     }
 
+    /// Returns the features of the sender; none before its greeting was read.
+    pub fn features(&self) -> Features {
+        self.features
+    }
+
     /// Returns the next message, or `None` while it is incomplete.
     pub fn read_message(&mut self) -> Result<Option<Message>, ProtocolError> {
         let Some(mut frame) = self.next_frame()? else { return Ok(None) };
--- a/crates/handover/src/wire/tests.rs
+++ b/crates/handover/src/wire/tests.rs
@@ -132,3 +132,54 @@
     reader.feed(&encoded);
     assert_eq!(reader.read_message(), Ok(Some(current(key_owner()))));
 }
+
+/// A process of an earlier release ends its greeting before the features and ignores those of others.
+#[test]
+fn greetings_with_and_without_features_are_both_read() {
+    let mut reader = FrameReader::default();
+    let encoded = encode_greeting(&greeting());
+    reader.feed(&encoded);
+    assert_eq!(reader.read_greeting(), Ok(Some(greeting())));
+    assert!(reader.features().contains(Features::CONFIGURATIONS));
+    let mut reader = FrameReader::default();
+    reader.feed(&frame(&encoded[4..encoded.len() - 1]));
+    assert_eq!(reader.read_greeting(), Ok(Some(greeting())));
+    assert_eq!(reader.features(), Features::NONE);
+    assert_eq!(
+        postcard::from_bytes::<Greeting>(&encoded[10..]),
+        Ok(greeting()),
+        "as earlier releases read it"
+    );
+}
+
+/// The longest report of configurations fits into one message.
+#[test]
+fn a_report_of_many_configurations_fits_into_one_message() {
+    use plover_model::configuration::{ConfigurationPeriod, ConfigurationReport, NamedClass};
+    use plover_model::settings::{Class, Semantics};
+    let class = Class {
+        aim: 1.0,
+        give_up: 2.0,
+        worth: 1.0,
+        late_worth: 0.0,
+        semantics: Semantics::Keyed { window: 5.0 },
+        need: 1.0,
+        floor: 1.0,
+        partial_earns: 0.0,
+        second_step: false,
+    };
+    let named = |n: usize| NamedClass { name: format!("class-{n:0240}"), class: class.clone() };
+    let period = ConfigurationPeriod {
+        from: 0,
+        until: Micros::MAX,
+        classes: (0..256).map(named).collect(),
+        tenants: (0..256).map(|n| format!("tenant-{n:0240}")).collect(),
+        shards: 8,
+        is_merged: false,
+    };
+    let report = ConfigurationReport { periods: vec![period; 5 * 17], ..Default::default() };
+    let message = Message::Configurations(Box::new(report));
+    let mut reader = FrameReader::default();
+    reader.feed(&encode_message(&message).expect("the message is not longer than a frame may be"));
+    assert_eq!(reader.read_message(), Ok(Some(message)));
+}
--- a/crates/ploverport/tests/operation/main.rs
+++ b/crates/ploverport/tests/operation/main.rs
@@ -8,5 +8,6 @@
 mod rig;
 mod settings;
 mod soak;
+mod successor;
 mod upgrade;
 mod watch;
--- a/crates/ploverport/tests/operation/rig.rs
+++ b/crates/ploverport/tests/operation/rig.rs
@@ -8,6 +8,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 pub(crate) const BOUND: Duration = Duration::from_secs(30);
@@ -31,10 +32,17 @@
     Program::serve(exe(), &configuration(fleet), operator, None).unwrap()
 }
 
+/// Names another build of the program. Processes of one broker are then of either build in turn, the first of
+/// this one, or of the other one if [`OTHER_BUILD_FIRST`] is set too.
+const OTHER_BUILD: &str = "PLOVERPORT_OTHER_BUILD";
+const OTHER_BUILD_FIRST: &str = "PLOVERPORT_OTHER_BUILD_FIRST";
+
 /// What the processes of one broker share.
 pub(crate) struct Shared {
     pub(crate) listener: TcpListener,
     pub(crate) directory: PathBuf,
+    /// Number of processes that were started.
+    started: AtomicUsize,
 }
 
 impl Shared {
@@ -42,7 +50,8 @@
         let directory = std::env::temp_dir().join(format!("ploverport-{}-{name}", std::process::id()));
         let _ = std::fs::remove_dir_all(&directory);
         std::fs::create_dir_all(&directory).unwrap();
-        Shared { listener: TcpListener::bind("127.0.0.1:0").unwrap(), directory }
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        Shared { listener, directory, started: AtomicUsize::new(0) }
     }
 
     pub(crate) fn start(&self, fleet: &Fleet) -> Program {
@@ -52,8 +61,24 @@
     pub(crate) fn start_with(&self, fleet: &Fleet, operator: &str) -> Program {
         let mut configuration = configuration(fleet);
         configuration["listen"] = json!(self.address().to_string());
+        self.serve(&configuration, operator)
+    }
+
+    pub(crate) fn start_configured(&self, configuration: &Value) -> Program {
+        self.serve(configuration, "")
+    }
+
+    fn serve(&self, configuration: &Value, operator: &str) -> Program {
         let inherit = Inherit { listener: &self.listener, directory: &self.directory };
-        Program::serve(exe(), &configuration, operator, Some(inherit)).unwrap()
+        Program::serve(&self.next_build(), configuration, operator, Some(inherit)).unwrap()
+    }
+
+    /// The build of the next process.
+    fn next_build(&self) -> PathBuf {
+        let other_at = usize::from(std::env::var_os(OTHER_BUILD_FIRST).is_none());
+        let number = self.started.fetch_add(1, Ordering::Relaxed);
+        let other = std::env::var_os(OTHER_BUILD).filter(|_| number % 2 == other_at);
+        other.map_or_else(|| exe().to_owned(), PathBuf::from)
     }
 
     pub(crate) fn address(&self) -> SocketAddr {
--- a/crates/query/src/config_history/tests.rs
+++ b/crates/query/src/config_history/tests.rs
@@ -1,3 +1,5 @@
+mod adopted;
+
 use super::*;
 use brookbend::api::Semantics;
 use brookbend::settings::{JsonObject, decode as decode_settings};
--- a/crates/query/src/lib.rs
+++ b/crates/query/src/lib.rs
@@ -8,7 +8,7 @@
 mod request_config;
 mod response;
 
-pub use config_history::{RequestConfigHistory, SETTINGS_EFFECTIVE_AFTER};
+pub use config_history::{Period, ReporterId, RequestConfigHistory, SETTINGS_EFFECTIVE_AFTER};
 pub use decode::decode;
 pub use request_config::RequestConfig;
 pub use response::{Response, connection_refusal, date_header, encode_reply, plain_text};
--- a/crates/query/src/request_config.rs
+++ b/crates/query/src/request_config.rs
@@ -3,6 +3,7 @@
 use crate::decode::{class_name, decode_as, unknown_class};
 use brookbend::api::{Class, Semantics, Settings};
 use http::Request;
+use plover_model::configuration::NamedClass;
 use plover_model::query::{Names, QueryRequest, Reply};
 use plover_routes::CompiledRoutes;
 use std::cmp::Reverse;
@@ -44,13 +45,53 @@
         result
     }
 
-    /// Whether this configuration and another one decode every request alike.
+    /// Whether this configuration and another one decode every request to the same query, with the same indices.
     pub(crate) fn decodes_like(&self, other: &RequestConfig) -> bool {
+        self.has_shards_of(other)
+            && self.indexed_classes().eq(other.indexed_classes())
+            && self.indexed_tenants().eq(other.indexed_tenants())
+    }
+
+    /// Whether this configuration and another one have the same classes and tenants, by whatever indices.
+    pub(crate) fn equals(&self, other: &RequestConfig) -> bool {
+        let (classes, other_classes) = (self.classes(), other.classes());
+        self.has_shards_of(other)
+            && classes.iter().all(|class| other_classes.contains(class))
+            && other_classes.iter().all(|class| classes.contains(class))
+            && self.tenants().collect::<BTreeSet<_>>() == other.tenants().collect::<BTreeSet<_>>()
+    }
+
+    fn has_shards_of(&self, other: &RequestConfig) -> bool {
         let (Some(settings), Some(others)) = (&self.settings, &other.settings) else { return false };
-        let current = (0..self.names.classes.len()).filter(|i| !self.names.removed_classes.contains(i));
-        self.names == other.names
-            && settings.shards == others.shards
-            && current.into_iter().all(|i| settings.classes.get(i) == others.classes.get(i))
+        settings.shards == others.shards
+    }
+
+    /// The current classes with their indices, names and settings.
+    fn indexed_classes(&self) -> impl Iterator<Item = (usize, &String, &Class)> {
+        let classes = self.settings.iter().flat_map(|settings| &settings.classes);
+        let named = self.names.classes.iter().zip(classes).enumerate();
+        let all = named.map(|(i, (name, class))| (i, name, class));
+        all.filter(|(i, ..)| !self.names.removed_classes.contains(i))
+    }
+
+    /// The current tenants with their indices.
+    fn indexed_tenants(&self) -> impl Iterator<Item = (usize, &String)> {
+        let current = |(i, _): &(usize, &String)| !self.names.removed_tenants.contains(i);
+        self.names.tenants.iter().enumerate().filter(current)
+    }
+
+    /// Returns the current classes.
+    pub(crate) fn classes(&self) -> Vec<NamedClass> {
+        let named = |(_, name, class): (usize, &String, &Class)| NamedClass {
+            name: name.clone(),
+            class: class.clone(),
+        };
+        self.indexed_classes().map(named).collect()
+    }
+
+    /// Returns the names of the current tenants.
+    pub(crate) fn tenants(&self) -> impl Iterator<Item = &String> {
+        self.indexed_tenants().map(|(_, name)| name)
     }
 
     /// Merges two configurations of this process into one that knows the classes and tenants of both.
