Hand-over: no older list revives a server that the predecessor was told to drain

What callers could see: work for a server that drains, from a successor whose discovery answers with a list that is older than the one its predecessor had. Evidence: by reading, from the list of what a successor begins without; the test calls a function that the code before does not have.

--- a/crates/broker/src/event_loop.rs
+++ b/crates/broker/src/event_loop.rs
@@ -236,6 +236,10 @@
                     self.carry_out(now, decisions);
                     self.core.restore(now, 0, &snapshot);
                     self.server_list.apply_drains(now, &snapshot, &mut self.core, &mut self.upstream);
+                    if snapshot.rev >= self.server_list.rev {
+                        let drained = snapshot.servers.iter().filter(|server| server.draining_or_gone);
+                        self.discovery.hold(snapshot.rev, drained.map(|server| server.name.as_str()));
+                    }
                 }
                 Action::ApplyUpdate(word) => self.queries.apply_update(now, word),
                 Action::AdoptConfigurations { link, older, report } => {
--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -69,6 +69,12 @@
         Discovery { executor, site, at: (start.address, start.times), seed: start.seed, _stays, watch }
     }
 
+    /// Takes over from another process of the broker which servers drain or are gone by a list of this version:
+    /// no older list revives them.
+    pub fn hold<'a>(&self, rev: u64, drained: impl Iterator<Item = &'a str>) {
+        self.site.ledger.borrow_mut().hold(rev, drained);
+    }
+
     /// Watches at another address. Its versions need not be those of the last one, and what changed meanwhile
     /// is known to nobody: it is asked for the whole list first. What the last one has written by now was told, and is
     /// taken before; nothing that it writes later is.
--- a/crates/watch/src/ledger.rs
+++ b/crates/watch/src/ledger.rs
@@ -76,6 +76,24 @@
         held
     }
 
+    /// Takes over from another process of the broker that a list of this version or an earlier one said that
+    /// these servers drain or are gone. A server that no list has named here is held back whenever it is said
+    /// to have started.
+    pub fn hold<'a>(&mut self, rev: u64, drained: impl Iterator<Item = &'a str>) {
+        for uid in drained {
+            let unknown = Entry { state: TargetState::Leaving, rev, boot_ms: f64::INFINITY };
+            let entry = self.servers.entry(uid.to_owned()).or_insert(unknown);
+            if entry.rev > rev {
+                continue;
+            }
+            if entry.state == TargetState::Active {
+                entry.state = TargetState::Leaving;
+            }
+            entry.rev = rev;
+        }
+        self.forget();
+    }
+
     /// When servers have been held back for long enough, if any are.
     pub fn due(&self) -> Option<Micros> {
         self.held_since.map(|since| since + HOLD)
--- a/crates/watch/tests/older_lists.rs
+++ b/crates/watch/tests/older_lists.rs
@@ -112,3 +112,20 @@
     assert_eq!(states(&mut ledger, 0, list(0, false, &[("s1", Active, 0.0)])).0, 0);
     assert_eq!(states(&mut ledger, 0, list(0, false, &[("s2999", Active, 0.0)])).0, 1);
 }
+
+/// Guards against a successor that lets an older list revive a server of which its predecessor was told that it
+/// drains or is gone.
+#[test]
+fn an_older_list_revives_nobody_that_another_process_was_told_to_drain() {
+    let active = [("a", TargetState::Active, 5.0), ("b", TargetState::Active, 5.0)];
+    let mut ledger = Ledger::default();
+    states(&mut ledger, 0, list(41, true, &active[..1]));
+    // One that is known here, and one that no list has named here yet.
+    ledger.hold(50, ["a", "b"].into_iter());
+    let (held, found) = states(&mut ledger, 10, list(45, true, &active));
+    assert_eq!((held, found), (2, vec![TargetState::Leaving; 2]));
+    let (held, found) = states(&mut ledger, 20, list(50, true, &active));
+    assert_eq!((held, found), (0, vec![TargetState::Active; 2]), "a list that is not older is believed");
+    ledger.hold(40, ["a"].into_iter());
+    assert_eq!(states(&mut ledger, 30, list(45, true, &active)).0, 0, "what was told before is no news");
+}
