Hand-over: a successor goes on from the tokens that rate limits have left

What callers could see: round an upgrade up to half a burst more than the operator's file allows, since the new process began with full buckets. Cause: levels of token buckets were not part of the hand-over. Change: buckets that are not full are reported when a process joins (TokensLeft); beside a release that reports none they begin empty. Result: `a_successor_begins_with_the_tokens_that_its_predecessor_had_left` (both together admit 4 of the 5 that are left, in pairs) and `unknown_buckets_begin_empty` pass; both call functions that the code before does not have.

--- a/crates/broker/src/hand_over.rs
+++ b/crates/broker/src/hand_over.rs
@@ -63,7 +63,7 @@
             let recall = Message::Snapshot(Box::new(view.core.snapshot(now, view.rev)));
             // What was noted before this is part of all that is known.
             let first = [self.configurations_message(), recall].into_iter();
-            let words = first.chain(view.queries.all_updates()).chain([Message::StateSent]);
+            let words = first.chain(view.queries.all_updates(now)).chain([Message::StateSent]);
             for word in words {
                 owed.iter().for_each(|id| self.sockets.tell_one(now, *id, &word));
             }
--- a/crates/broker/src/queries.rs
+++ b/crates/broker/src/queries.rs
@@ -10,7 +10,7 @@
 use plover_handover::wire::{KeyOwner, Message};
 use plover_handover::{KeyedSend, Siblings};
 use plover_limits::{Permit, QueryLimiter};
-use plover_model::query::{AttemptId, Names, Proof, QueryId, QueryRequest, Reply};
+use plover_model::query::{AttemptId, LimitScope, Names, Proof, QueryId, QueryRequest, Rate, Reply};
 use plover_model::server::Outcome;
 use plover_model::time::{Micros, millis};
 use plover_ops::{ClassCounter, Counters, Gauges, QueryResult};
@@ -217,15 +217,35 @@
     }
 
     /// All messages that a process needs that has just joined.
-    pub(crate) fn all_updates(&self) -> Vec<Message> {
+    pub(crate) fn all_updates(&self, now: Micros) -> Vec<Message> {
         let mut messages: Vec<Message> =
             self.pending.values().map(|p| query_opened(&p.request, &p.permit)).collect();
         self.key_register
             .replay(|key, window, event| messages.push(key_message(key, window, event, self.origin)));
+        let tenant_name = |tenant: usize| self.names.tenants.get(tenant).cloned().unwrap_or_default();
+        let tokens_left = |(section, tenant, rate, level): (&LimitScope, usize, Rate, u64)| {
+            let (section, tenant) = (section.as_ref().to_owned(), tenant_name(tenant));
+            let Rate { per_second, burst } = rate;
+            Message::TokensLeft { section, tenant, per_second, burst, level }
+        };
+        messages.extend(self.limiter.levels(now).map(tokens_left));
         messages
     }
 
-    /// Records what another process of this broker did with a key.
+    /// Assumes that all rates of the operator's file are used up, because another process of this broker does
+    /// not report what it let in.
+    pub(crate) fn assume_rates_used(&mut self, now: Micros) {
+        self.limiter.assume_empty(now);
+    }
+
+    /// Takes over the level of a token bucket of another process of this broker.
+    fn restore_tokens(&mut self, now: Micros, section: &str, tenant: &str, rate: Rate, level: u64) {
+        if let Some(tenant) = self.names.tenant(tenant.as_bytes()).or_else(|| self.names.implicit_tenant()) {
+            self.limiter.restore_level(now, &section.into(), tenant, rate, level);
+        }
+    }
+
+    /// Records what another process of this broker did with a key, or how many tokens it has left.
     pub(crate) fn apply_update(&mut self, now: Micros, word: Message) {
         let at = |shared: Micros| shared.saturating_sub(self.origin);
         let (key, key_owner, event) = match word {
@@ -241,6 +261,10 @@
             Message::KeyClosed { key, answered, key_owner, .. } => {
                 (key, key_owner, KeyEvent::Closed { answered })
             }
+            Message::TokensLeft { section, tenant, per_second, burst, level } => {
+                let rate = Rate { per_second, burst };
+                return self.restore_tokens(now, &section, &tenant, rate, level);
+            }
             Message::Snapshot(_)
             | Message::StateSent
             | Message::Opened { .. }
--- a/crates/broker/src/sibling_configurations.rs
+++ b/crates/broker/src/sibling_configurations.rs
@@ -75,6 +75,7 @@
         info!(name: "configurations_unknown", unknown);
         if unknown {
             self.core.set_unknown_until(Micros::MAX);
+            self.queries.assume_rates_used(now);
             self.assume_strictest_classes(now);
         } else {
             self.core.set_unknown_until(now + UNKNOWN_FOR);
--- a/crates/handover/src/siblings/link.rs
+++ b/crates/handover/src/siblings/link.rs
@@ -81,7 +81,8 @@
 
     /// Queues a message. Returns `false` if it is too long or does not fit.
     pub(super) fn queue(&mut self, now: Micros, message: &Message) -> bool {
-        if matches!(message, Message::Configurations(_)) && !self.reports_configurations() {
+        let needs_feature = matches!(message, Message::Configurations(_) | Message::TokensLeft { .. });
+        if needs_feature && !self.reports_configurations() {
             // The sibling would not understand it.
             return true;
         }
--- a/crates/handover/src/wire.rs
+++ b/crates/handover/src/wire.rs
@@ -42,7 +42,8 @@
 impl Features {
     /// No extension, as processes of earlier releases.
     pub const NONE: Features = Features(0);
-    /// The process sends [`Message::Configurations`], and reports each attempt at a part on its own.
+    /// The process sends [`Message::Configurations`] and [`Message::TokensLeft`], and reports each attempt at a
+    /// part on its own.
     pub const CONFIGURATIONS: Features = Features(1);
 
     /// Whether all of these extensions are there.
@@ -145,6 +146,19 @@
     /// The configurations that clients may apply. It replaces an earlier one of the sender, and needs
     /// [`Features::CONFIGURATIONS`].
     Configurations(Box<ConfigurationReport>),
+    /// The level of a token bucket of the sender, below its burst. It needs [`Features::CONFIGURATIONS`].
+    TokensLeft {
+        /// Section of the operator's file that sets the rate.
+        section: String,
+        /// Name of the tenant.
+        tenant: String,
+        /// Queries per second.
+        per_second: u32,
+        /// Burst after an idle time.
+        burst: u32,
+        /// Level in millionths of a token.
+        level: u64,
+    },
 }
 
 /// Error in the bytes that a sibling sent.
--- a/crates/limits/src/bucket.rs
+++ b/crates/limits/src/bucket.rs
@@ -21,12 +21,23 @@
         TokenBucket { capacity, per_second: u64::from(per_second), level: capacity, updated_at: now }
     }
 
+    /// Returns the level at time `now`, in millionths of a token.
+    pub fn level(&self, now: Micros) -> u64 {
+        let refill = now.saturating_sub(self.updated_at).saturating_mul(self.per_second);
+        self.level.saturating_add(refill).min(self.capacity)
+    }
+
+    /// Lowers the level to this one at time `now`, in millionths of a token, if it is higher.
+    pub fn lower(&mut self, now: Micros, level: u64) {
+        self.level = self.level(now).min(level);
+        self.updated_at = self.updated_at.max(now);
+    }
+
     /// Takes tokens from the bucket. Returns `false`, and takes none, if there are not enough.
     pub fn try_take(&mut self, now: Micros, tokens: u32) -> bool {
         // A clock that stands still or goes back refills nothing.
-        let refill = now.saturating_sub(self.updated_at).saturating_mul(self.per_second);
+        self.level = self.level(now);
         self.updated_at = self.updated_at.max(now);
-        self.level = self.level.saturating_add(refill).min(self.capacity);
         let cost = u64::from(tokens) * SECOND;
         let sufficient = self.level >= cost;
         if sufficient {
@@ -53,8 +64,7 @@
 
     /// Returns whether the bucket is full by now, so that a new bucket would behave the same.
     pub fn is_full(&self, now: Micros) -> bool {
-        let refill = now.saturating_sub(self.updated_at).saturating_mul(self.per_second);
-        self.level.saturating_add(refill) >= self.capacity
+        self.level(now) >= self.capacity
     }
 
     /// Adds tokens, up to the capacity.
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -61,6 +61,9 @@
     next_sweep: Micros,
     /// Number of processes of this broker. Each process takes tokens for all of them.
     processes: u32,
+    /// Time at which all buckets that are not known are assumed to have been empty, because a predecessor
+    /// does not report its own.
+    emptied_at: Option<Micros>,
     seed: u64,
     /// Number of rejected queries, which varies the retry advice.
     rejected: u64,
@@ -83,6 +86,7 @@
             overflow: None,
             next_sweep: 0,
             processes: 1,
+            emptied_at: None,
             seed,
             rejected: 0,
         }
@@ -153,6 +157,25 @@
         self.buckets.retain(|(_, tenant), _| !tenants.contains(tenant));
     }
 
+    /// Returns the rates of single tenants whose buckets are not full, and the level of each bucket in
+    /// millionths of a token, for a successor process.
+    pub fn levels(&self, now: Micros) -> impl Iterator<Item = (&LimitScope, usize, Rate, u64)> {
+        let used = self.buckets.iter().filter(move |(_, (_, bucket))| !bucket.is_full(now));
+        used.map(move |((owner, tenant), (rate, bucket))| (owner, *tenant, *rate, bucket.level(now)))
+    }
+
+    /// Lowers a bucket to the level that a predecessor process reported.
+    pub fn restore_level(&mut self, now: Micros, owner: &LimitScope, tenant: usize, rate: Rate, level: u64) {
+        self.bucket(now, owner, rate, tenant).lower(now, level);
+    }
+
+    /// Assumes that all buckets are empty at time `now`, because a predecessor does not report its own.
+    pub fn assume_empty(&mut self, now: Micros) {
+        self.emptied_at = Some(now);
+        let buckets = self.buckets.values_mut().chain(&mut self.overflow);
+        buckets.for_each(|(_, bucket)| bucket.lower(now, 0));
+    }
+
     /// Returns the number of open queries that count for a section.
     pub fn open_queries(&self, owner: &LimitScope) -> u32 {
         self.open_queries.get(owner).copied().unwrap_or(0)
@@ -179,15 +202,20 @@
 
     fn bucket(&mut self, now: Micros, owner: &LimitScope, rate: Rate, tenant: usize) -> &mut TokenBucket {
         let key = (owner.clone(), tenant);
-        let full_bucket = || (rate, TokenBucket::new(now, rate.burst, rate.per_second));
+        let emptied_at = self.emptied_at;
+        let new_bucket = || {
+            let mut bucket = TokenBucket::new(emptied_at.unwrap_or(now), rate.burst, rate.per_second);
+            emptied_at.into_iter().for_each(|at| bucket.lower(at, 0));
+            (rate, bucket)
+        };
         if !self.buckets.contains_key(&key) && self.buckets.len() >= MAX_BUCKETS && now >= self.next_sweep {
             self.next_sweep = now + SWEEP_INTERVAL;
             self.buckets.retain(|_, (_, bucket)| !bucket.is_full(now));
         }
         let (bucket_rate, bucket) = if self.buckets.len() >= MAX_BUCKETS && !self.buckets.contains_key(&key) {
-            self.overflow.get_or_insert_with(full_bucket)
+            self.overflow.get_or_insert_with(new_bucket)
         } else {
-            self.buckets.entry(key).or_insert_with(full_bucket)
+            self.buckets.entry(key).or_insert_with(new_bucket)
         };
         if *bucket_rate != rate {
             bucket.reconfigure(now, rate.burst, rate.per_second);
--- a/crates/limits/src/tests.rs
+++ b/crates/limits/src/tests.rs
@@ -154,3 +154,35 @@
     };
     assert_eq!([admitted(&mut limiter, 0), admitted(&mut limiter, 1)], [0, 5]);
 }
+
+/// A successor goes on from the tokens that its predecessor had left, and both together admit no more than one
+/// process would.
+#[test]
+fn a_successor_begins_with_the_tokens_that_its_predecessor_had_left() {
+    let limits = rate(10, 8);
+    let admitted =
+        |limiter: &mut QueryLimiter, now| (0..20).filter(|_| limiter.admit(now, &limits, 0).is_ok()).count();
+    let mut old = QueryLimiter::new(1);
+    assert_eq!((0..4).filter(|_| old.admit(0, &limits, 0).is_ok()).count(), 4);
+    let mut new = QueryLimiter::new(2);
+    for (owner, tenant, rate, level) in old.levels(SECOND / 10) {
+        new.restore_level(SECOND / 10, owner, tenant, rate, level);
+    }
+    [&mut old, &mut new].into_iter().for_each(|limiter| limiter.set_process_count(2));
+    assert_eq!(admitted(&mut old, SECOND / 10) + admitted(&mut new, SECOND / 10), 4, "five are left");
+    assert!(QueryLimiter::new(3).levels(0).next().is_none());
+}
+
+/// What a predecessor does not report is taken for used up. The rate goes on from there.
+#[test]
+fn unknown_buckets_begin_empty() {
+    let limits = rate(10, 3);
+    let mut limiter = QueryLimiter::new(1);
+    assert!(limiter.admit(0, &limits, 0).is_ok());
+    limiter.assume_empty(SECOND);
+    for tenant in [0, 1] {
+        assert!(limiter.admit(SECOND, &limits, tenant).is_err());
+        assert!(limiter.admit(SECOND + SECOND / 10, &limits, tenant).is_ok());
+    }
+    assert_eq!((0..9).filter(|_| limiter.admit(9 * SECOND, &limits, 2).is_ok()).count(), 3);
+}
