Hand-over: the spare attempts of a budget are the older process's until they are past

What callers could see: where a deployment sets a budget of extra attempts, up to `SpareAttempts` more than it allows in one window round an upgrade. Cause: each process counts its own window, which a successor begins empty. Change: while an older process may be alive, and for a window after it, a process has the share for its own queries and no spare attempts. Result: `a_successor_has_no_free_attempts_until_those_of_its_predecessor_are_past` passes; it calls a function that the code before does not have.

--- a/crates/broker/src/event_loop.rs
+++ b/crates/broker/src/event_loop.rs
@@ -245,6 +245,7 @@
                 Action::AdoptConfigurations { link, older, report } => {
                     self.adopt_configurations(now, link, older, &report);
                 }
+                Action::SetOlderProcess(alive) => self.core.set_older_process(now, alive),
                 Action::SetUnknownConfigurations(unknown) => self.set_unknown_configurations(now, unknown),
                 Action::SetProcessCount(processes) => {
                     if processes == 1 {
--- a/crates/broker/src/extensions.rs
+++ b/crates/broker/src/extensions.rs
@@ -91,6 +91,8 @@
     ApplyUpdate(Message),
     /// Set the number of processes of this broker.
     SetProcessCount(u32),
+    /// Note whether a process of this broker that is older than this one may be alive.
+    SetOlderProcess(bool),
     /// Check again whether the broker is ready: the extension may no longer prevent it.
     RecheckReadiness,
 }
--- a/crates/broker/src/hand_over.rs
+++ b/crates/broker/src/hand_over.rs
@@ -26,12 +26,14 @@
     configurations: ConfigurationReport,
     /// Whether others may know of further configurations, as it was told last.
     unknown_configurations: bool,
+    /// Whether an older process may be alive, as it was told last.
+    older: bool,
 }
 
 impl HandOver {
     pub(crate) fn new(sockets: Sockets, clock: Clock) -> Self {
-        let (configurations, unknown_configurations) = Default::default();
-        HandOver { sockets, clock, copies: 1, configurations, unknown_configurations }
+        let (configurations, unknown_configurations, older) = Default::default();
+        HandOver { sockets, clock, copies: 1, configurations, unknown_configurations, older }
     }
 
     /// Hears out the processes that are there already, before this one says that it serves.
@@ -92,6 +94,10 @@
         if std::mem::replace(&mut self.unknown_configurations, unknown) != unknown {
             actions.push(Action::SetUnknownConfigurations(unknown));
         }
+        let older = self.sockets.known.has_older();
+        if std::mem::replace(&mut self.older, older) != older {
+            actions.push(Action::SetOlderProcess(older));
+        }
         let copies = self.sockets.known.process_count();
         if std::mem::replace(&mut self.copies, copies) != copies {
             actions.push(Action::SetProcessCount(copies));
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -168,6 +168,9 @@
     previous_limits: Option<PreviousLimits>,
     /// Time until which it is unknown which settings clients apply. Parts then get a single attempt.
     unknown_until: Micros,
+    /// Time from which this process has the free attempts of the attempt budget; until then they are those of
+    /// an older process of this broker.
+    free_attempts_from: Micros,
     /// Time at which the settings are computed again because a removed class may be unused by then.
     retention_check_at: Option<Micros>,
 }
@@ -180,6 +183,7 @@
             finish_by: Micros::MAX,
             previous_limits: None,
             unknown_until: 0,
+            free_attempts_from: 0,
             retention_check_at: None,
             aggregator: Aggregator::new(settings.clone(), seed),
             settings,
@@ -331,10 +335,24 @@
         }
     }
 
-    /// Returns the settings with each process counted as an aggregator.
+    /// Sets whether an older process of this broker is alive. The free attempts of the attempt budget are its
+    /// own then, and until its last ones are past the budget's window. What the budget allows for each query
+    /// is this process's in any case.
+    pub fn set_older_process(&mut self, now: Micros, alive: bool) {
+        let window = self.settings.budget.map_or(0, |budget| millis(budget.window));
+        self.free_attempts_from = if alive { Micros::MAX } else { now + window };
+        self.aggregator.reconfigure(self.shared_settings(), &[]);
+    }
+
+    /// Returns the settings with each process counted as an aggregator, and without the free attempts that
+    /// are another process's.
     fn shared_settings(&self) -> Settings {
         let aggregators = self.settings.aggregators.saturating_mul(self.processes);
-        Settings { aggregators, ..self.settings.clone() }
+        let mut budget = self.settings.budget;
+        if self.free_attempts_from > 0 {
+            budget.iter_mut().for_each(|budget| budget.free_attempts = 0.0);
+        }
+        Settings { aggregators, budget, ..self.settings.clone() }
     }
 
     /// Returns the learned state of servers and classes for a successor process. `rev` is the revision of the
@@ -471,6 +489,10 @@
             self.aggregator.reconfigure(self.shared_settings(), &[]);
             self.retention_check_at = self.index_table.next_retention_check(now);
         }
+        if self.free_attempts_from > 0 && now >= self.free_attempts_from {
+            self.free_attempts_from = 0;
+            self.aggregator.reconfigure(self.shared_settings(), &[]);
+        }
         if self.wake_at.take_if(|at| now >= *at).is_some() {
             self.staged.push(Event::Woken);
         }
@@ -644,7 +666,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use brookbend::api::NodeState;
+    use brookbend::api::{AttemptBudget, NodeState};
     use brookbend::settings::{JsonObject, decode};
     use serde_json::Value;
 
@@ -674,6 +696,27 @@
         Report { attempt, outcome, elapsed: 20_000, load: None, connected_at: None }
     }
 
+    /// The free attempts of a budget are those of the older process while both serve, and for a window longer.
+    #[test]
+    fn a_successor_has_no_free_attempts_until_those_of_its_predecessor_are_past() {
+        const WINDOW_MS: f64 = 2000.0;
+        let is_retried = |older_ended_at: Option<Micros>, now: Micros| {
+            let mut core = core(100);
+            let budget = AttemptBudget { free_attempts: 9.0, per_request: 0.0, window: WINDOW_MS };
+            core.settings.budget = Some(budget);
+            core.set_older_process(0, true);
+            older_ended_at.into_iter().for_each(|at| core.set_older_process(at, false));
+            core.tick(now);
+            let query = Query { deadline: now + 1_000_000, ..query(1, &[0]) };
+            let first = core.pick(now, vec![query]).dispatches.remove(0).attempt;
+            !core.report(now + 10_000, vec![ended(first, Outcome::Full)]).dispatches.is_empty()
+        };
+        let window = millis(WINDOW_MS);
+        assert!(!is_retried(None, 1000 + window));
+        assert!(!is_retried(Some(1000), window));
+        assert!(is_retried(Some(1000), 1000 + window));
+    }
+
     #[test]
     fn a_full_server_is_retried_and_the_query_ends_once() {
         let mut core = core(10);
--- a/crates/handover/src/siblings.rs
+++ b/crates/handover/src/siblings.rs
@@ -62,7 +62,7 @@
         /// What it reported.
         report: Box<ConfigurationReport>,
     },
-    /// A message about an idempotency key, to be applied to the key register unchanged.
+    /// A message about an idempotency key or the level of a token bucket, to be applied unchanged.
     Key(Message),
     /// The link has ended, and with it all queries that the sibling had open. Attempts under their keys may
     /// run until they time out.
@@ -321,6 +321,16 @@
         self.links.values().any(|l| l.state == State::Joined && l.is_newer_than(&self.local))
     }
 
+    /// Returns whether a sibling is alive that is older than this process, or may be.
+    pub fn has_older(&self) -> bool {
+        let may_be_older = |l: &Link| match l.state {
+            // It does not serve yet, or this process does not.
+            State::AwaitingGreeting(_) => false,
+            State::Synchronizing(_) | State::Joined | State::Unknown => !l.is_newer_than(&self.local),
+        };
+        !self.disconnected.is_empty() || self.links.values().any(may_be_older)
+    }
+
     /// Returns whether a sibling may serve requests of clients that apply configurations which it has not
     /// reported.
     pub fn has_unknown_configurations(&self) -> bool {
