Stand-ins: what a test tells a fleet or a list has been done when the call returns

Cause: Fleet::silence_discovery, kill, drain and the others only queued a command for the stand-ins' thread. A thread that is held up in its first turn may accept and answer a call before it takes the command.

Change: a command is acknowledged when it has been executed, and the call waits for that (command.rs, used by Fleet and List). Word is Command.

--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -1,10 +1,10 @@
 //! A discovery and some data servers, on a thread of their own.
 
 use crate::books::Books;
+use crate::command::{CommandSender, commands};
 use crate::discovery::Discovery;
 use crate::server::{Fault, Server, Switch, accept};
 use crate::view::{Shown, Sight, View};
-use async_channel::Sender;
 use async_executor::{LocalExecutor, Task};
 use async_io::Async;
 use serde_json::{Value, json};
@@ -47,8 +47,8 @@
     }
 }
 
-/// Word to the thread.
-enum Word {
+/// What the thread is told to do.
+enum Command {
     /// Entries of the list that change in one version, and servers that begin.
     Change(Vec<(usize, &'static str)>, Vec<Joins>),
     Silent(bool),
@@ -86,7 +86,7 @@
     /// How long a part takes where a server joins.
     work: Duration,
     books: Arc<Mutex<Books>>,
-    words: Sender<Word>,
+    commands: CommandSender<Command>,
     known: Value,
     thread: Option<JoinHandle<()>>,
 }
@@ -162,7 +162,7 @@
             let switch = Arc::new(Mutex::new(Switch { work: plan.work, ..Switch::default() }));
             servers.push(ServerHandle { name: format!("s{n}"), address: listener.local_addr()?, switch });
         }
-        let (words, heard) = async_channel::unbounded();
+        let (sender, receiver) = commands();
         let (ready, started) = std::sync::mpsc::channel();
         let (handles, shared_books) = (servers.clone(), books.clone());
         let thread = std::thread::Builder::new().name("stand-ins".to_owned()).spawn(move || {
@@ -181,8 +181,9 @@
             let discovery = executor.spawn(serve);
             async_io::block_on(executor.run(async {
                 let mut views = Vec::new();
-                while let Ok(word) = heard.recv().await {
-                    obey(word, &mut running, &mut views, &list, &executor, &shared_books, plan).await;
+                while let Some((command, acknowledgement)) = receiver.next().await {
+                    execute(command, &mut running, &mut views, &list, &executor, &shared_books, plan).await;
+                    acknowledgement.send();
                 }
                 // Whoever accepts holds the executor, and that its tasks: with one left all sockets would stay open.
                 for one in running.values_mut() {
@@ -194,7 +195,15 @@
             }));
         })?;
         let known = started.recv().map_err(io::Error::other)?;
-        Ok(Fleet { discovery, servers, work: plan.work, books, words, known, thread: Some(thread) })
+        Ok(Fleet {
+            discovery,
+            servers,
+            work: plan.work,
+            books,
+            commands: sender,
+            known,
+            thread: Some(thread),
+        })
     }
 
     /// The data servers.
@@ -219,14 +228,10 @@
         self.books(Books::counts)
     }
 
-    fn say(&self, word: Word) {
-        let _ = self.words.try_send(word);
-    }
-
     /// Tells that a server drains.
     pub fn drain(&self, n: usize) {
         self.servers[n].with(|s| s.drained = Some(Instant::now()));
-        self.say(Word::Change(vec![(n, "leaving")], Vec::new()));
+        self.commands.execute(Command::Change(vec![(n, "leaving")], Vec::new()));
     }
 
     /// Changes the list in one version; the numbers of the servers that join are told.
@@ -250,25 +255,25 @@
             joins.push(Joins { number, cell, handle, listener });
         }
         let numbers = joins.iter().map(|j| j.number).collect();
-        self.say(Word::Change(states, joins));
+        self.commands.execute(Command::Change(states, joins));
         Ok(numbers)
     }
 
     /// Ends a server's process: its connections are reset and new ones refused. The list knows nothing of it.
     pub fn kill(&self, n: usize) {
         self.servers[n].with(|s| s.fault = Fault::Dead);
-        self.say(Word::Kill(n));
+        self.commands.execute(Command::Kill(n));
     }
 
     /// Starts a dead server again: cold, and told so by the list.
     pub fn revive(&self, n: usize) {
-        self.say(Word::Revive(n));
+        self.commands.execute(Command::Revive(n));
     }
 
     /// When discovery was asked for the whole list.
     pub fn lists_asked(&self) -> Vec<Instant> {
         let (answer, asked) = std::sync::mpsc::channel();
-        self.say(Word::Asked(answer));
+        self.commands.execute(Command::Asked(answer));
         asked.recv().unwrap_or_default()
     }
 
@@ -277,19 +282,19 @@
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
         let address = listener.local_addr()?;
         let shown = Arc::new(Shown::new(endpoints));
-        self.say(Word::View(listener, shown.clone()));
+        self.commands.execute(Command::View(listener, shown.clone()));
         Ok(View { address, shown })
     }
 
     /// What a broker sees of the list from now on.
     pub fn show(&self, view: &View, sight: Sight) {
         view.shown.set_sight(sight);
-        self.say(Word::LookAgain);
+        self.commands.execute(Command::LookAgain);
     }
 
     /// Whether discovery takes calls and answers none.
     pub fn silence_discovery(&self, silent: bool) {
-        self.say(Word::Silent(silent));
+        self.commands.execute(Command::Silent(silent));
     }
 }
 
@@ -313,15 +318,15 @@
 
 impl Drop for Fleet {
     fn drop(&mut self) {
-        self.words.close();
+        self.commands.close();
         if let Some(thread) = self.thread.take() {
             let _ = thread.join();
         }
     }
 }
 
-async fn obey(
-    word: Word,
+async fn execute(
+    command: Command,
     running: &mut BTreeMap<usize, Running>,
     views: &mut Vec<Task<()>>,
     list: &Rc<Discovery>,
@@ -329,13 +334,13 @@
     books: &Arc<Mutex<Books>>,
     plan: Plan,
 ) {
-    match word {
-        Word::Silent(silent) => list.set_silent(silent),
-        Word::Asked(answer) => {
+    match command {
+        Command::Silent(silent) => list.set_silent(silent),
+        Command::Asked(answer) => {
             // Who asked may have gone.
             let _ = answer.send(list.asked());
         }
-        Word::Change(states, joins) => {
+        Command::Change(states, joins) => {
             let mut entries = Vec::new();
             for (n, state) in states {
                 let Some(one) = running.get_mut(&n) else { continue };
@@ -352,16 +357,16 @@
             }
             list.set_all(entries);
         }
-        Word::View(listener, shown) => {
+        Command::View(listener, shown) => {
             views.push(executor.spawn(serve_discovery(list.clone(), listener, shown, executor.clone())));
         }
-        Word::LookAgain => list.look_again(),
-        Word::Kill(n) => {
+        Command::LookAgain => list.look_again(),
+        Command::Kill(n) => {
             if let Some(one) = running.get_mut(&n) {
                 one.end().await;
             }
         }
-        Word::Revive(n) => {
+        Command::Revive(n) => {
             let Some(one) = running.get_mut(&n) else { return };
             if one.listening.is_some() {
                 return;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,6 +5,7 @@
 //! attempt that came and how it ended, and check them against the rules that a broker must keep.
 
 pub mod books;
+mod command;
 mod deployment;
 mod discovery;
 mod fleet;
--- a/crates/standins/src/list.rs
+++ b/crates/standins/src/list.rs
@@ -1,7 +1,7 @@
 //! A discovery by itself: a list of servers that are not there, of any length.
 
+use crate::command::{CommandSender, commands};
 use crate::discovery::Discovery;
-use async_channel::Sender;
 use async_executor::LocalExecutor;
 use async_io::Async;
 use serde_json::{Value, json};
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 use std::thread::JoinHandle;
 
-enum Word {
+enum Command {
     Set(Vec<Value>),
     Silent(bool),
 }
@@ -20,7 +20,7 @@
 pub struct List {
     /// Where it listens.
     pub address: SocketAddr,
-    words: Sender<Word>,
+    commands: CommandSender<Command>,
     thread: Option<JoinHandle<()>>,
 }
 
@@ -70,7 +70,7 @@
     pub fn serving(first: Vec<Value>) -> io::Result<List> {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
         let address = listener.local_addr()?;
-        let (words, heard) = async_channel::unbounded();
+        let (sender, receiver) = commands();
         let thread = std::thread::Builder::new().name("list".to_owned()).spawn(move || {
             let executor = Rc::new(LocalExecutor::new());
             let list = Discovery::new();
@@ -83,15 +83,16 @@
                 }
             });
             async_io::block_on(executor.run(async {
-                while let Ok(word) = heard.recv().await {
-                    match word {
-                        Word::Set(entries) => list.set_all(entries),
-                        Word::Silent(silent) => list.set_silent(silent),
+                while let Some((command, acknowledgement)) = receiver.next().await {
+                    match command {
+                        Command::Set(entries) => list.set_all(entries),
+                        Command::Silent(silent) => list.set_silent(silent),
                     }
+                    acknowledgement.send();
                 }
             }));
         })?;
-        Ok(List { address, words, thread: Some(thread) })
+        Ok(List { address, commands: sender, thread: Some(thread) })
     }
 
     /// Changes entries, all in one version.
@@ -101,18 +102,18 @@
 
     /// The same with entries in discovery's form.
     pub fn change(&self, entries: Vec<Value>) {
-        let _ = self.words.try_send(Word::Set(entries));
+        self.commands.execute(Command::Set(entries));
     }
 
     /// Whether it takes calls and answers none.
     pub fn silence(&self, silent: bool) {
-        let _ = self.words.try_send(Word::Silent(silent));
+        self.commands.execute(Command::Silent(silent));
     }
 }
 
 impl Drop for List {
     fn drop(&mut self) {
-        self.words.close();
+        self.commands.close();
         if let Some(thread) = self.thread.take() {
             let _ = thread.join();
         }
