--- a/review/common-2/stand.rs
+++ b/review/common-2/stand.rs
@@ -95,6 +95,10 @@
     pub id: String,
     pub shard: usize,
     pub list: String,
+    /// Number of the connection that brought it.
+    line: u64,
+    /// When it was answered or given up, or its connection ended.
+    pub ended: Option<Instant>,
 }
 
 /// One data server: takes parts, and answers each of them `good` after its work.
@@ -103,6 +107,8 @@
     pub cell: usize,
     pub address: SocketAddr,
     pub arrivals: Arc<Mutex<Vec<Arrival>>>,
+    /// Until then it stands still, and answers nothing. What comes meanwhile is booked as it comes.
+    stands_still: Arc<Mutex<Instant>>,
 }
 
 impl DataServer {
@@ -110,14 +116,23 @@
         let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|e| cannot_run(&format!("data server: {e}")));
         let address = listener.local_addr().unwrap();
         let (uid, arrivals) = (format!("s-{number:04x}"), Arc::new(Mutex::new(Vec::new())));
-        let (name, books, record) = (uid.clone(), arrivals.clone(), record.clone());
+        let stands_still = Arc::new(Mutex::new(Instant::now()));
+        let (name, books, record, still) = (uid.clone(), arrivals.clone(), record.clone(), stands_still.clone());
         thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let (name, books, record) = (name.clone(), books.clone(), record.clone());
-                thread::spawn(move || serve_frames(stream, &name, work, &books, &record));
+            for (line, stream) in (0..).zip(listener.incoming().flatten()) {
+                let (name, books, record, still) = (name.clone(), books.clone(), record.clone(), still.clone());
+                thread::spawn(move || {
+                    serve_frames(stream, line, &name, work, &books, &still, &record);
+                    end_where(&books, |a| a.line == line);
+                });
             }
         });
-        DataServer { uid, cell, address, arrivals }
+        DataServer { uid, cell, address, arrivals, stands_still }
+    }
+
+    /// Stands still for so long from now on.
+    pub fn stand_still(&self, time: Duration) {
+        *self.stands_still.lock().unwrap() = Instant::now() + time;
     }
 
     pub fn entry(&self, state: &str) -> String {
@@ -136,12 +151,31 @@
     bytes
 }
 
+/// Books the end of the attempts that are out and meet this.
+fn end_where(books: &Mutex<Vec<Arrival>>, of: impl Fn(&Arrival) -> bool) {
+    let now = Instant::now();
+    let mut books = books.lock().unwrap();
+    books.iter_mut().filter(|a| a.ended.is_none() && of(a)).for_each(|a| a.ended = Some(now));
+}
+
+/// An answer that is due at a time: the part's id, and the frame.
+type Due = (Instant, String, Vec<u8>);
+
 /// Serves one connection of a broker.
-fn serve_frames(mut stream: TcpStream, name: &str, work: Duration, books: &Mutex<Vec<Arrival>>, record: &Record) {
+fn serve_frames(
+    mut stream: TcpStream,
+    line_number: u64,
+    name: &str,
+    work: Duration,
+    books: &Arc<Mutex<Vec<Arrival>>>,
+    still: &Arc<Mutex<Instant>>,
+    record: &Record,
+) {
     let _ = stream.set_nodelay(true);
     let Ok(out) = stream.try_clone() else { return };
-    let (send, due): (Sender<(Instant, Vec<u8>)>, Receiver<_>) = channel();
-    thread::spawn(move || write_when_due(out, &due));
+    let (send, due): (Sender<Due>, Receiver<Due>) = channel();
+    let (answered, still) = (books.clone(), still.clone());
+    thread::spawn(move || write_when_due(out, &due, &still, |id| end_where(&answered, |a| a.id == id && a.line == line_number)));
     let mut head = [0; 4];
     while stream.read_exact(&mut head).is_ok() {
         let mut body = vec![0; u32::from_be_bytes(head) as usize];
@@ -161,29 +195,38 @@
                     record.line_at(at, &format!("{name} received part {id} {list}"));
                     let (id, list) = (id.to_owned(), list.to_owned());
                     let answer = frame(b'q', format!("{id} good 1 inflight=0,qps=1\nvalue-{id}").as_bytes());
-                    books.lock().unwrap().push(Arrival { at, server: name.to_owned(), id, shard, list });
-                    let _ = send.send((at + work, answer));
+                    let (server, due) = (name.to_owned(), (at + work, id.clone(), answer));
+                    books.lock().unwrap().push(Arrival { at, server, id, shard, list, line: line_number, ended: None });
+                    let _ = send.send(due);
                 }
             }
-            b'n' => record.line_at(at, &format!("{name} was told to give up {}", String::from_utf8_lossy(rest))),
-            b'o' => _ = send.send((at, frame(b'o', b"good"))),
-            b'p' => _ = send.send((at, frame(b'p', b"inflight=0,qps=1"))),
+            b'n' => {
+                let id = String::from_utf8_lossy(rest).into_owned();
+                end_where(books, |a| a.id == id);
+                record.line_at(at, &format!("{name} was told to give up {id}"));
+            }
+            b'o' => _ = send.send((at, String::new(), frame(b'o', b"good"))),
+            b'p' => _ = send.send((at, String::new(), frame(b'p', b"inflight=0,qps=1"))),
             _ => return,
         }
     }
 }
 
-fn write_when_due(mut stream: TcpStream, due: &Receiver<(Instant, Vec<u8>)>) {
-    let mut waiting: BinaryHeap<Reverse<(Instant, Vec<u8>)>> = BinaryHeap::new();
+fn write_when_due(mut stream: TcpStream, due: &Receiver<Due>, still: &Mutex<Instant>, answered: impl Fn(&str)) {
+    let mut waiting: BinaryHeap<Reverse<Due>> = BinaryHeap::new();
     loop {
-        let wait = waiting.peek().map_or(ms(1000), |Reverse((at, _))| at.saturating_duration_since(Instant::now()));
+        let begin = *still.lock().unwrap();
+        let next = waiting.peek().map(|Reverse((at, ..))| (*at).max(begin));
+        let wait = next.map_or(ms(1000), |at| at.saturating_duration_since(Instant::now()));
         match due.recv_timeout(wait) {
             Ok(next) => waiting.push(Reverse(next)),
             Err(RecvTimeoutError::Timeout) => {}
             Err(RecvTimeoutError::Disconnected) => return,
         }
-        while waiting.peek().is_some_and(|Reverse((at, _))| *at <= Instant::now()) {
-            let Some(Reverse((_, bytes))) = waiting.pop() else { break };
+        let now = Instant::now();
+        while now >= *still.lock().unwrap() && waiting.peek().is_some_and(|Reverse((at, ..))| *at <= now) {
+            let Some(Reverse((_, id, bytes))) = waiting.pop() else { break };
+            answered(&id);
             if stream.write_all(&bytes).is_err() {
                 return;
             }
@@ -310,7 +353,10 @@
 }
 
 /// What differs between the configurations of the cases.
+#[derive(Clone, Copy)]
 pub struct Site {
+    /// Whether a part may have two attempts out at once.
+    pub second_copies: bool,
     pub cells: usize,
     pub shards: usize,
     pub sockets: u64,
@@ -333,7 +379,7 @@
     format!(
         "{{\"Allowed\":{{\"Cancel\":true,\"CpuUsPerRequest\":0.0,\"CpuUsPerS\":400000,\"DialTimeout\":250.0,\"Keepalive\":15000.0,\
          \"MaxOpen\":168,\"MaxRetryAfter\":2000.0,\"Multiplex\":100,\"Peers\":false,\"Probes\":true,\"RetryAfter\":true,\
-         \"SecondCopies\":false,\"SendCap\":4}},\"Clients\":{{\"MarksRetry\":true}},\"Family\":\"fanout\",\
+         \"SecondCopies\":{},\"SendCap\":4}},\"Clients\":{{\"MarksRetry\":true}},\"Family\":\"fanout\",\
          \"FamilyInfo\":{{\"Batch\":4,\"Call\":36.0,\"ClassNeed\":[1.0,1.0,1.0],\"FetchParts\":[0,0,0],\
          \"MinShare\":[1.0,1.0,0.7],\"PartialEarns\":[0.9,0.9,0.9],\"Positions\":{},\"Shards\":{},\"WarmKeys\":false,\
          \"Width\":1}},\"Flavors\":[\"std\"],\"Layer\":0,\"Layers\":[\"fleet\"],\"Locality\":0,\
@@ -343,6 +389,7 @@
          \"Rules\":{{\"AnswerSlack\":20.0,\"AskWithin\":10000.0,\"Cold\":16000.0,\"ColdFrom\":0.18,\"DrainGrace\":250.0,\
          \"Fall\":1000.0,\"FallMultiple\":2.5}},\"Services\":[{}],\"Tick\":5.0,\"Weights\":\"rough\",\
          \"WorthBy\":\"request\",\"Zones\":[\"east\"]}}",
+        site.second_copies,
         site.cells,
         site.shards,
         classes.join(",")
@@ -353,29 +400,33 @@
 pub struct Broker {
     pid: u32,
     pub clients: SocketAddr,
+    ops: SocketAddr,
+    seed: u64,
     files: PathBuf,
 }
 
+fn configuration(site: &Site, clients: SocketAddr, ops: SocketAddr, seed: u64, discovery: &Discovery) -> String {
+    format!(
+        "{{\"name\":\"n1\",\"listen\":\"{clients}\",\"discovery\":\"{}\",\"ops\":\"{ops}\",\"seed\":\"{seed:016x}\",\
+         \"limits\":{{\"cores\":1.0,\"memory_mb\":{},\"sockets\":{}}},\"known\":{},\"settings\":{}}}",
+        discovery.address,
+        site.memory_mb,
+        site.sockets,
+        discovery.whole(),
+        settings(site)
+    )
+}
+
 impl Broker {
     /// Starts the command `run` of the deploy file, and waits until the broker is ready.
     pub fn start(root: &Path, site: &Site, discovery: &Discovery, record: &Record) -> Broker {
         let files = std::env::temp_dir().join(format!("review-2-{}-{}", std::process::id(), unix_nanos()));
         let tmp = files.join("tmp");
         fs::create_dir_all(&tmp).unwrap_or_else(|e| cannot_run(&format!("temporary folder: {e}")));
-        let clients = free_address();
-        let config = format!(
-            "{{\"name\":\"n1\",\"listen\":\"{clients}\",\"discovery\":\"{}\",\"ops\":\"{}\",\"seed\":\"{:016x}\",\
-             \"limits\":{{\"cores\":1.0,\"memory_mb\":{},\"sockets\":{}}},\"known\":{},\"settings\":{}}}",
-            discovery.address,
-            free_address(),
-            unix_nanos(),
-            site.memory_mb,
-            site.sockets,
-            discovery.whole(),
-            settings(site)
-        );
+        let (clients, ops, seed) = (free_address(), free_address(), unix_nanos());
         let path = files.join("config.json");
-        fs::write(&path, config).unwrap_or_else(|e| cannot_run(&format!("configuration: {e}")));
+        let text = configuration(site, clients, ops, seed, discovery);
+        fs::write(&path, text).unwrap_or_else(|e| cannot_run(&format!("configuration: {e}")));
         let log = File::create(files.join("log")).unwrap_or_else(|e| cannot_run(&format!("log: {e}")));
         let mut command = Command::new("/bin/sh");
         command.arg("-c").arg(run_command(root)).current_dir(root);
@@ -384,7 +435,7 @@
         }
         command.env("RELAY_CONFIG", &path).env("TMPDIR", &tmp).stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
         let child = command.spawn().unwrap_or_else(|e| cannot_run(&format!("the broker: {e}")));
-        let mut broker = Broker { pid: child.id(), clients, files };
+        let mut broker = Broker { pid: child.id(), clients, ops, seed, files };
         CHILDREN.lock().unwrap().push(child);
         let until = Instant::now() + ms(10_000);
         while Instant::now() < until {
@@ -400,6 +451,20 @@
         cannot_run("the broker did not become ready")
     }
 
+    /// Replaces the configuration by that of this site, and sends SIGHUP; the time is that of the signal.
+    pub fn reload(&self, site: &Site, discovery: &Discovery) -> Instant {
+        let (new, path) = (self.files.join("new"), self.files.join("config.json"));
+        let text = configuration(site, self.clients, self.ops, self.seed, discovery);
+        let written = fs::write(&new, text).and_then(|()| fs::rename(&new, &path));
+        written.unwrap_or_else(|e| cannot_run(&format!("configuration: {e}")));
+        let at = Instant::now();
+        let sent = Command::new("/bin/sh").arg("-c").arg(format!("kill -s HUP {}", self.pid)).status();
+        if !sent.is_ok_and(|status| status.success()) {
+            cannot_run("SIGHUP could not be sent");
+        }
+        at
+    }
+
     pub fn has_ended(&mut self) -> bool {
         let mut children = CHILDREN.lock().unwrap();
         children.iter_mut().find(|c| c.id() == self.pid).is_none_or(|c| !matches!(c.try_wait(), Ok(None)))
