--- a/review/common-2/stand.rs
+++ b/review/common-2/stand.rs
@@ -7,6 +7,7 @@
 use std::fs::{self, File};
 use std::io::{self, BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio, exit};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -252,6 +253,8 @@
     list: Arc<(Mutex<List>, Condvar)>,
     /// How much later than at its time each answer is written, in milliseconds.
     pub slow_by: Arc<AtomicU64>,
+    /// Discovery is down: the agent takes calls and is silent.
+    pub silent: Arc<AtomicBool>,
 }
 
 impl Discovery {
@@ -263,6 +266,7 @@
             address: listener.local_addr().unwrap(),
             list: Arc::new((Mutex::new(list), Condvar::new())),
             slow_by: Arc::default(),
+            silent: Arc::default(),
         };
         let (agent, record) = (discovery.clone(), record.clone());
         thread::spawn(move || {
@@ -286,7 +290,9 @@
 
     pub fn whole(&self) -> String {
         let list = self.list.0.lock().unwrap();
-        let entries: Vec<&str> = list.entries.values().map(|(_, entry)| entry.as_str()).collect();
+        // `left` appears among changes only.
+        let stays = |entry: &&str| !entry.contains("\"state\":\"left\"");
+        let entries: Vec<&str> = list.entries.values().map(|(_, entry)| entry.as_str()).filter(stays).collect();
         format!("{{\"rev\":{},\"all\":true,\"targets\":[{}]}}", list.rev, entries.join(","))
     }
 
@@ -316,6 +322,12 @@
                 Some(index) => self.news(index, ms(pair("wait").unwrap_or(0).min(60_000))),
             };
             thread::sleep(ms(self.slow_by.load(Ordering::Relaxed)));
+            if self.silent.load(Ordering::Relaxed) {
+                // A watch that has fallen silent stays so, and has to be opened anew.
+                record.line("discovery is down: no answer");
+                while lines.next().is_some_and(|line| line.is_ok()) {}
+                return;
+            }
             // A broker that has closed its connection meanwhile is not told.
             let _ = stream.set_nonblocking(true);
             let open = matches!(stream.peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock);
@@ -396,6 +408,27 @@
     )
 }
 
+/// What the platform holds for the processes of one broker: the clients' listening socket, and the directory that they share.
+pub struct Held {
+    listener: TcpListener,
+    directory: PathBuf,
+}
+
+impl Held {
+    pub fn new() -> Held {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|e| cannot_run(&format!("listening socket: {e}")));
+        let directory = std::env::temp_dir().join(format!("rv{}", unix_nanos()));
+        fs::create_dir_all(&directory).unwrap_or_else(|e| cannot_run(&format!("temporary folder: {e}")));
+        Held { listener, directory }
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.directory);
+    }
+}
+
 /// A broker, started as the platform does; killed when dropped.
 pub struct Broker {
     pid: u32,
@@ -405,14 +438,21 @@
     files: PathBuf,
 }
 
-fn configuration(site: &Site, clients: SocketAddr, ops: SocketAddr, seed: u64, discovery: &Discovery) -> String {
+fn configuration(
+    site: &Site,
+    clients: SocketAddr,
+    ops: SocketAddr,
+    seed: u64,
+    discovery: &Discovery,
+    known: &str,
+) -> String {
     format!(
         "{{\"name\":\"n1\",\"listen\":\"{clients}\",\"discovery\":\"{}\",\"ops\":\"{ops}\",\"seed\":\"{seed:016x}\",\
          \"limits\":{{\"cores\":1.0,\"memory_mb\":{},\"sockets\":{}}},\"known\":{},\"settings\":{}}}",
         discovery.address,
         site.memory_mb,
         site.sockets,
-        discovery.whole(),
+        known,
         settings(site)
     )
 }
@@ -420,20 +460,39 @@
 impl Broker {
     /// Starts the command `run` of the deploy file, and waits until the broker is ready.
     pub fn start(root: &Path, site: &Site, discovery: &Discovery, record: &Record) -> Broker {
+        Broker::start_as(root, site, discovery, record, None, &discovery.whole())
+    }
+
+    /// The same with this list as the one that is known, and where the platform holds the clients' socket.
+    pub fn start_as(
+        root: &Path,
+        site: &Site,
+        discovery: &Discovery,
+        record: &Record,
+        held: Option<&Held>,
+        known: &str,
+    ) -> Broker {
         let files = std::env::temp_dir().join(format!("review-2-{}-{}", std::process::id(), unix_nanos()));
         let tmp = files.join("tmp");
         fs::create_dir_all(&tmp).unwrap_or_else(|e| cannot_run(&format!("temporary folder: {e}")));
-        let (clients, ops, seed) = (free_address(), free_address(), unix_nanos());
+        let (ops, seed) = (free_address(), unix_nanos());
+        let clients = held.map_or_else(free_address, |held| held.listener.local_addr().unwrap());
         let path = files.join("config.json");
-        let text = configuration(site, clients, ops, seed, discovery);
+        let text = configuration(site, clients, ops, seed, discovery, known);
         fs::write(&path, text).unwrap_or_else(|e| cannot_run(&format!("configuration: {e}")));
         let log = File::create(files.join("log")).unwrap_or_else(|e| cannot_run(&format!("log: {e}")));
         let mut command = Command::new("/bin/sh");
-        command.arg("-c").arg(run_command(root)).current_dir(root);
+        let run = run_command(root);
+        let run = if held.is_some() { format!("exec 3<&0 </dev/null; {run}") } else { run };
+        command.arg("-c").arg(run).current_dir(root);
         for name in ["RELAY_NAME", "RELAY_LISTEN", "RELAY_DISCOVERY", "RELAY_OPS", "RELAY_FD"] {
             command.env_remove(name);
         }
         command.env("RELAY_CONFIG", &path).env("TMPDIR", &tmp).stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
+        if let Some(held) = held {
+            let socket = held.listener.try_clone().unwrap_or_else(|e| cannot_run(&format!("listening socket: {e}")));
+            command.env("RELAY_FD", "3").env("TMPDIR", &held.directory).stdin(Stdio::from(OwnedFd::from(socket)));
+        }
         let child = command.spawn().unwrap_or_else(|e| cannot_run(&format!("the broker: {e}")));
         let mut broker = Broker { pid: child.id(), clients, ops, seed, files };
         CHILDREN.lock().unwrap().push(child);
@@ -442,7 +501,10 @@
             if broker.has_ended() {
                 cannot_run(&format!("the broker ended at its start: {}", broker.log()));
             }
-            if matches!(call(clients, b"GET /-/ready HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n", ms(500)), Called::Answered(200, _)) {
+            // Where two processes share the clients' socket, each says for itself at its second address whether it is ready.
+            let (at, path) = if held.is_some() { (ops, "/api/ready") } else { (clients, "/-/ready") };
+            let asked = format!("GET {path} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+            if matches!(call(at, asked.as_bytes(), ms(500)), Called::Answered(200, _)) {
                 record.line("the broker is ready");
                 return broker;
             }
@@ -454,13 +516,18 @@
     /// Replaces the configuration by that of this site, and sends SIGHUP; the time is that of the signal.
     pub fn reload(&self, site: &Site, discovery: &Discovery) -> Instant {
         let (new, path) = (self.files.join("new"), self.files.join("config.json"));
-        let text = configuration(site, self.clients, self.ops, self.seed, discovery);
+        let text = configuration(site, self.clients, self.ops, self.seed, discovery, &discovery.whole());
         let written = fs::write(&new, text).and_then(|()| fs::rename(&new, &path));
         written.unwrap_or_else(|e| cannot_run(&format!("configuration: {e}")));
+        self.signal("HUP")
+    }
+
+    /// Sends a signal; the time is that of the signal.
+    pub fn signal(&self, name: &str) -> Instant {
         let at = Instant::now();
-        let sent = Command::new("/bin/sh").arg("-c").arg(format!("kill -s HUP {}", self.pid)).status();
+        let sent = Command::new("/bin/sh").arg("-c").arg(format!("kill -s {name} {}", self.pid)).status();
         if !sent.is_ok_and(|status| status.success()) {
-            cannot_run("SIGHUP could not be sent");
+            cannot_run("a signal could not be sent");
         }
         at
     }
