--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,5 +5,5 @@
 mkdir -p target/review-2
 for source in review/*/case.rs; do
     number=$(basename "$(dirname "$source")")
-    rustc --edition 2024 -O -A warnings -o "target/review-2/case-$number" "$source"
+    rustc --edition 2024 -O -o "target/review-2/case-$number" "$source"
 done
--- a/review/common-2/stand.rs
+++ b/review/common-2/stand.rs
@@ -2,8 +2,8 @@
 //! The standard library alone; everything is on 127.0.0.1.
 #![allow(dead_code)]
 
-use std::collections::{BTreeMap, BinaryHeap};
 use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
 use std::fs::{self, File};
 use std::io::{self, BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -114,14 +114,17 @@
 
 impl DataServer {
     pub fn start(number: usize, cell: usize, work: Duration, record: &Record) -> DataServer {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|e| cannot_run(&format!("data server: {e}")));
+        let listener =
+            TcpListener::bind("127.0.0.1:0").unwrap_or_else(|e| cannot_run(&format!("data server: {e}")));
         let address = listener.local_addr().unwrap();
         let (uid, arrivals) = (format!("s-{number:04x}"), Arc::new(Mutex::new(Vec::new())));
         let stands_still = Arc::new(Mutex::new(Instant::now()));
-        let (name, books, record, still) = (uid.clone(), arrivals.clone(), record.clone(), stands_still.clone());
+        let (name, books, record, still) =
+            (uid.clone(), arrivals.clone(), record.clone(), stands_still.clone());
         thread::spawn(move || {
             for (line, stream) in (0..).zip(listener.incoming().flatten()) {
-                let (name, books, record, still) = (name.clone(), books.clone(), record.clone(), still.clone());
+                let (name, books, record, still) =
+                    (name.clone(), books.clone(), record.clone(), still.clone());
                 thread::spawn(move || {
                     serve_frames(stream, line, &name, work, &books, &still, &record);
                     end_where(&books, |a| a.line == line);
@@ -176,7 +179,9 @@
     let Ok(out) = stream.try_clone() else { return };
     let (send, due): (Sender<Due>, Receiver<Due>) = channel();
     let (answered, still) = (books.clone(), still.clone());
-    thread::spawn(move || write_when_due(out, &due, &still, |id| end_where(&answered, |a| a.id == id && a.line == line_number)));
+    thread::spawn(move || {
+        write_when_due(out, &due, &still, |id| end_where(&answered, |a| a.id == id && a.line == line_number))
+    });
     let mut head = [0; 4];
     while stream.read_exact(&mut head).is_ok() {
         let mut body = vec![0; u32::from_be_bytes(head) as usize];
@@ -197,7 +202,15 @@
                     let (id, list) = (id.to_owned(), list.to_owned());
                     let answer = frame(b'q', format!("{id} good 1 inflight=0,qps=1\nvalue-{id}").as_bytes());
                     let (server, due) = (name.to_owned(), (at + work, id.clone(), answer));
-                    books.lock().unwrap().push(Arrival { at, server, id, shard, list, line: line_number, ended: None });
+                    books.lock().unwrap().push(Arrival {
+                        at,
+                        server,
+                        id,
+                        shard,
+                        list,
+                        line: line_number,
+                        ended: None,
+                    });
                     let _ = send.send(due);
                 }
             }
@@ -213,7 +226,12 @@
     }
 }
 
-fn write_when_due(mut stream: TcpStream, due: &Receiver<Due>, still: &Mutex<Instant>, answered: impl Fn(&str)) {
+fn write_when_due(
+    mut stream: TcpStream,
+    due: &Receiver<Due>,
+    still: &Mutex<Instant>,
+    answered: impl Fn(&str),
+) {
     let mut waiting: BinaryHeap<Reverse<Due>> = BinaryHeap::new();
     loop {
         let begin = *still.lock().unwrap();
@@ -259,7 +277,8 @@
 
 impl Discovery {
     pub fn start(servers: &[DataServer], record: &Record) -> Discovery {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|e| cannot_run(&format!("discovery: {e}")));
+        let listener =
+            TcpListener::bind("127.0.0.1:0").unwrap_or_else(|e| cannot_run(&format!("discovery: {e}")));
         let mut list = List { rev: 1, ..List::default() };
         list.entries.extend(servers.iter().map(|s| (s.uid.clone(), (1, s.entry("active")))));
         let discovery = Discovery {
@@ -292,7 +311,8 @@
         let list = self.list.0.lock().unwrap();
         // `left` appears among changes only.
         let stays = |entry: &&str| !entry.contains("\"state\":\"left\"");
-        let entries: Vec<&str> = list.entries.values().map(|(_, entry)| entry.as_str()).filter(stays).collect();
+        let entries: Vec<&str> =
+            list.entries.values().map(|(_, entry)| entry.as_str()).filter(stays).collect();
         format!("{{\"rev\":{},\"all\":true,\"targets\":[{}]}}", list.rev, entries.join(","))
     }
 
@@ -315,7 +335,9 @@
             record.line(&format!("discovery was asked {target}"));
             let pair = |key: &str| {
                 let query = target.split_once('?')?.1;
-                query.split('&').find_map(|pair| pair.strip_prefix(key)?.strip_prefix('=')?.parse::<u64>().ok())
+                query
+                    .split('&')
+                    .find_map(|pair| pair.strip_prefix(key)?.strip_prefix('=')?.parse::<u64>().ok())
             };
             let (rev, body) = match pair("index") {
                 None => (self.list.0.lock().unwrap().rev, self.whole()),
@@ -336,7 +358,10 @@
                 record.line("discovery found its caller gone before the answer was written");
                 return;
             }
-            let head = format!("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n", body.len());
+            let head = format!(
+                "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+                body.len()
+            );
             if stream.write_all((head + &body).as_bytes()).is_err() {
                 return;
             }
@@ -416,7 +441,8 @@
 
 impl Held {
     pub fn new() -> Held {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|e| cannot_run(&format!("listening socket: {e}")));
+        let listener = TcpListener::bind("127.0.0.1:0")
+            .unwrap_or_else(|e| cannot_run(&format!("listening socket: {e}")));
         let directory = std::env::temp_dir().join(format!("rv{}", unix_nanos()));
         fs::create_dir_all(&directory).unwrap_or_else(|e| cannot_run(&format!("temporary folder: {e}")));
         Held { listener, directory }
@@ -488,10 +514,19 @@
         for name in ["RELAY_NAME", "RELAY_LISTEN", "RELAY_DISCOVERY", "RELAY_OPS", "RELAY_FD"] {
             command.env_remove(name);
         }
-        command.env("RELAY_CONFIG", &path).env("TMPDIR", &tmp).stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
+        command
+            .env("RELAY_CONFIG", &path)
+            .env("TMPDIR", &tmp)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log);
         if let Some(held) = held {
-            let socket = held.listener.try_clone().unwrap_or_else(|e| cannot_run(&format!("listening socket: {e}")));
-            command.env("RELAY_FD", "3").env("TMPDIR", &held.directory).stdin(Stdio::from(OwnedFd::from(socket)));
+            let socket =
+                held.listener.try_clone().unwrap_or_else(|e| cannot_run(&format!("listening socket: {e}")));
+            command
+                .env("RELAY_FD", "3")
+                .env("TMPDIR", &held.directory)
+                .stdin(Stdio::from(OwnedFd::from(socket)));
         }
         let child = command.spawn().unwrap_or_else(|e| cannot_run(&format!("the broker: {e}")));
         let mut broker = Broker { pid: child.id(), clients, ops, seed, files };
@@ -556,7 +591,8 @@
 
 /// The command of the deploy file that starts one broker.
 fn run_command(root: &Path) -> String {
-    let text = fs::read_to_string(root.join("deploy/balancer.toml")).unwrap_or_else(|e| cannot_run(&format!("deploy file: {e}")));
+    let text = fs::read_to_string(root.join("deploy/balancer.toml"))
+        .unwrap_or_else(|e| cannot_run(&format!("deploy file: {e}")));
     let line = text.lines().find_map(|line| line.strip_prefix("run")?.trim_start().strip_prefix('='));
     let command = line.and_then(|rest| rest.trim().strip_prefix('"')?.split('"').next());
     command.unwrap_or_else(|| cannot_run("the deploy file has no run")).to_owned()
@@ -567,7 +603,8 @@
 }
 
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|e| cannot_run(&format!("no free port: {e}")));
+    let listener =
+        TcpListener::bind("127.0.0.1:0").unwrap_or_else(|e| cannot_run(&format!("no free port: {e}")));
     listener.local_addr().unwrap()
 }
 
@@ -620,7 +657,9 @@
         match stream.read(&mut chunk) {
             Ok(0) => return Called::Closed,
             Ok(n) => input.extend_from_slice(&chunk[..n]),
-            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => return Called::Silence,
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
+                return Called::Silence;
+            }
             Err(e) if e.kind() == ErrorKind::Interrupted => {}
             Err(_) => return Called::Closed,
         }
@@ -633,7 +672,9 @@
     let head = String::from_utf8_lossy(&input[..end]).to_ascii_lowercase();
     let status = head.split(' ').nth(1)?.parse().ok()?;
     let body = &input[end + 4..];
-    let field = |name: &str| head.split("\r\n").find_map(|l| Some(l.strip_prefix(name)?.strip_prefix(':')?.trim().to_owned()));
+    let field = |name: &str| {
+        head.split("\r\n").find_map(|l| Some(l.strip_prefix(name)?.strip_prefix(':')?.trim().to_owned()))
+    };
     if let Some(length) = field("content-length") {
         let whole = body.get(..length.parse().ok()?)?;
         return Some(Called::Answered(status, String::from_utf8_lossy(whole).into_owned()));
