Watch: an overdue call is listened to while another connection is asked

Cause: the watch had one connection, and took silence for death. A call over a new connection was given up after 0.8 s, ten times in a row, shortly before each answer came; no bound counted the delay that the protocol allows (2 s after a call's wait).

Change: an overdue call is listened to until 2.2 s after its wait, while the next attempt goes over a new connection as soon as before. The first that answers takes the further calls, the others' answers are taken where newer. Order::GiveUp and the state Reading are gone.

--- a/crates/admission/src/descriptors.rs
+++ b/crates/admission/src/descriptors.rs
@@ -13,8 +13,8 @@
 const SIGNALS: u64 = 2;
 /// The listeners of HTTP/1.1 and HTTP/2, and the platform's own, which stays open beside the process's copy.
 const LISTENERS: u64 = 3;
-/// The connection of the discovery watch, and that of the watch that it replaces.
-const DISCOVERY: u64 = 2;
+/// The connections that the discovery watch holds at most, and one of the watch that it replaces.
+const DISCOVERY: u64 = 5;
 /// A file that is read at SIGHUP. Files are read one at a time.
 const FILES: u64 = 1;
 /// For each of the two fronts, one accepted connection that waits for a slot.
--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -2,24 +2,25 @@
 //!
 //! When to ask, and what to believe, is decided in `plover_watch`; here are the sockets and the bodies.
 
-mod line;
+mod connection;
 mod list;
 
 use async_channel::{Receiver, Sender};
 use async_executor::{LocalExecutor, Task};
 use async_io::Timer;
+use connection::{Answer, Connection, Outcome, Steps};
 use futures_lite::FutureExt;
-use line::Line;
+use futures_lite::future::poll_once;
 use plover_model::server::Targets;
 use plover_model::time::Micros;
 use plover_recovery::{Budget, Kind};
 use plover_runtime::clock::Clock;
-use plover_watch::{Fault, Heard, Ledger, Order, State, Watch};
+use plover_watch::{ConnectionId, Fault, Heard, Ledger, Order, Watch};
 use std::cell::RefCell;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
 
 pub use plover_watch::Times;
 
@@ -42,7 +43,7 @@
     pub budget: Option<Budget>,
 }
 
-/// The one watch of the list, and so the owner of its connection.
+/// The one watch of the list, and so the owner of its connections.
 pub struct Discovery {
     executor: Rc<LocalExecutor<'static>>,
     site: Rc<Site>,
@@ -51,7 +52,7 @@
     seed: u64,
     /// Dropped when the watch moves: the old one then takes what has come, and ends.
     _stays: Sender<()>,
-    /// Dropping it ends the watch and closes its connection.
+    /// Dropping it ends the watch and closes its connections.
     watch: Option<Task<()>>,
 }
 
@@ -127,86 +128,142 @@
 
     /// Watches until the watch moves, and is to be dropped then wherever it waits. A list that cannot be had or read leaves
     /// the last one in force.
-    async fn run(&self, moves: &Receiver<()>, discovery: SocketAddr, mut watch: Watch) {
-        let mut line: Option<Line> = None;
+    async fn run(&self, moves: &Receiver<()>, discovery: SocketAddr, watch: Watch) {
+        let mut session = Session { site: self, discovery, watch, steps: Steps::default(), idle: None };
         while !moves.is_closed() {
-            if matches!(watch.state(), State::Resting { .. }) {
-                line = None;
-            }
-            Timer::at(self.clock.instant(watch.due())).await;
-            let now = self.clock.now();
-            if matches!(watch.state(), State::Resting { goes_on: false, .. })
-                && self.room(now).is_err_and(|next| watch.put_off(now, next))
-            {
-                continue;
+            session.step().await;
+        }
+        session.take_what_has_come().await;
+    }
+
+    /// An attempt or a call came to nothing, or has not yet come to anything in the usual time.
+    fn refused(&self, now: Micros) {
+        if let Some(pace) = &self.pace {
+            pace.budget.borrow_mut().refused(now.saturating_sub(pace.start), Kind::List);
+        }
+    }
+
+    /// Takes the fleet's room for another attempt. The error is when there will be some.
+    fn room(&self, now: Micros) -> Result<(), Micros> {
+        let Some(pace) = &self.pace else { return Ok(()) };
+        let next = pace.budget.borrow_mut().take(now.saturating_sub(pace.start), Kind::List);
+        next.map_err(|next| pace.start + next)
+    }
+}
+
+/// How an answer was of no use, and what its connection said.
+type Failure = (Fault, io::Error);
+
+/// The watch at one address.
+struct Session<'a> {
+    site: &'a Site,
+    discovery: SocketAddr,
+    watch: Watch,
+    steps: Steps,
+    /// The connection on which no call is out.
+    idle: Option<(ConnectionId, Connection)>,
+}
+
+impl Session<'_> {
+    /// The next event or order.
+    async fn step(&mut self) {
+        let due = self.site.clock.instant(self.watch.due());
+        let timer = async {
+            Timer::at(due).await;
+            None
+        };
+        // Events go first: an answer that is there is not overdue.
+        let event = async { Some(self.steps.next().await) };
+        match event.or(timer).await {
+            Some((id, outcome)) => self.event(id, outcome),
+            None => self.turn(),
+        }
+        let watch = &self.watch;
+        self.steps.retain(|id| watch.holds(id));
+        self.idle.take_if(|(id, _)| !watch.holds(*id));
+    }
+
+    /// Takes the answers that have come, and waits for nothing.
+    async fn take_what_has_come(&mut self) {
+        while let Some((id, outcome)) = poll_once(self.steps.next()).await {
+            self.event(id, outcome);
+        }
+    }
+
+    fn turn(&mut self) {
+        let now = self.site.clock.now();
+        if now < self.watch.due() {
+            return;
+        }
+        if self.watch.attempt_due(now) && self.site.room(now).is_err_and(|next| self.watch.put_off(now, next))
+        {
+            return;
+        }
+        if self.site.ledger.borrow_mut().release(now) {
+            self.watch.want_whole();
+        }
+        match self.watch.turn(now) {
+            None => {}
+            Some(Order::Connect(id)) => self.steps.connect(id, self.discovery),
+            Some(Order::Call(id, call)) => match self.idle.take() {
+                Some((_, connection)) => self.steps.call(id, connection, call),
+                None => self.failed(id, Fault::Broken, &io::ErrorKind::NotConnected.into()),
+            },
+            Some(Order::Overdue(_)) => {
+                self.site.refused(now);
+                info!(name: "discovery_overdue", discovery = %self.discovery);
             }
-            if self.ledger.borrow_mut().release(now) {
-                watch.want_whole();
+            Some(Order::Close(_)) => {
+                let error = io::Error::from(io::ErrorKind::TimedOut);
+                warn!(name: "discovery_failed", error = %error);
             }
-            let ended = match watch.turn(now) {
-                None => continue,
-                Some(Order::GiveUp) => Err((None, io::ErrorKind::TimedOut.into())),
-                Some(Order::Connect) => match Line::connect(discovery, self.clock, &watch).await {
-                    Ok(new) => {
-                        let call = watch.connected(self.clock.now());
-                        self.ask(line.insert(new), call, &mut watch).await
-                    }
-                    Err(error) => Err((Some(Fault::Broken), error)),
-                },
-                Some(Order::Call(call)) => match &mut line {
-                    Some(line) => self.ask(line, call, &mut watch).await,
-                    None => Err((Some(Fault::Broken), io::ErrorKind::NotConnected.into())),
-                },
-            };
-            let Err((fault, error)) = ended else { continue };
-            let now = self.clock.now();
-            match fault {
-                // The watch sees by itself that its time is over.
-                Some(Fault::Broken) if error.kind() == io::ErrorKind::TimedOut && now >= watch.due() => {
-                    continue;
+        }
+    }
+
+    fn event(&mut self, id: ConnectionId, outcome: Outcome) {
+        match outcome {
+            Outcome::Connected(connection) => {
+                if let Some(call) = self.watch.connected(id, self.site.clock.now()) {
+                    self.steps.call(id, connection, call);
                 }
-                Some(fault) => watch.failed(now, fault),
-                None => {}
             }
-            if let Some(pace) = &self.pace {
-                pace.budget.borrow_mut().refused(now - pace.start, Kind::List);
-            }
-            warn!(name: "discovery_failed", error = %error);
+            Outcome::Answered(connection, answer) => match self.answered(id, answer) {
+                Ok(()) if self.watch.holds(id) => self.idle = Some((id, connection)),
+                Ok(()) => {}
+                Err((fault, error)) => self.failed(id, fault, &error),
+            },
+            Outcome::Broken(error) => self.failed(id, Fault::Broken, &error),
         }
     }
 
-    /// One call and its answer.
-    async fn ask(
-        &self,
-        line: &mut Line,
-        call: plover_watch::Call,
-        watch: &mut Watch,
-    ) -> Result<(), (Option<Fault>, io::Error)> {
-        let broken = |error| (Some(Fault::Broken), error);
-        let message = line.exchange(call, self.clock, watch).await.map_err(broken)?;
-        let status = message.value.status().as_u16();
+    fn failed(&mut self, id: ConnectionId, fault: Fault, error: &io::Error) {
+        let now = self.site.clock.now();
+        self.watch.failed(id, now, fault);
+        self.site.refused(now);
+        warn!(name: "discovery_failed", error = %error);
+    }
+
+    fn answered(&mut self, id: ConnectionId, answer: Answer) -> Result<(), Failure> {
+        let status = answer.value.status().as_u16();
         if status != 200 {
-            return Err((Some(Fault::Status(status)), io::Error::other(format!("status {status}"))));
+            return Err((Fault::Status(status), io::Error::other(format!("status {status}"))));
         }
-        let read = list::read(message.value.body());
-        let mut targets = read.map_err(|error| (Some(Fault::Unreadable), error))?;
+        let read = list::read(answer.value.body());
+        let mut targets = read.map_err(|error| (Fault::Unreadable, error))?;
         let tells = targets.all || !targets.targets.is_empty();
-        let now = self.clock.now();
-        watch.answered(now, Heard { rev: targets.rev, tells, closes: !message.keep_alive });
+        let now = self.site.clock.now();
+        let heard = Heard { rev: targets.rev, tells, closes: !answer.keep_alive };
+        if !self.watch.answered(id, now, heard) {
+            debug!(name: "discovery_answer_superseded", rev = targets.rev);
+            return Ok(());
+        }
         if tells {
-            let held = self.ledger.borrow_mut().take(now, &mut targets);
+            let held = self.site.ledger.borrow_mut().take(now, &mut targets);
             if held > 0 {
                 info!(name: "older_list", rev = targets.rev, held);
             }
-            (self.sink)(targets);
+            (self.site.sink)(targets);
         }
         Ok(())
     }
-
-    /// Takes the fleet's room for another attempt. The error is when there will be some.
-    fn room(&self, now: Micros) -> Result<(), Micros> {
-        let Some(pace) = &self.pace else { return Ok(()) };
-        let next = pace.budget.borrow_mut().take(now.saturating_sub(pace.start), Kind::List);
-        next.map_err(|next| pace.start + next)
-    }
 }
--- a/crates/discovery/tests/misbehaving.rs
+++ b/crates/discovery/tests/misbehaving.rs
@@ -7,6 +7,7 @@
 use plover_discovery::{Discovery, Sink, Start, Times};
 use plover_model::server::{TargetState, Targets};
 use plover_standins::script::{Act, Script, chunked, sized};
+use plover_watch::MOST_CONNECTIONS;
 use serde_json::{Value, json};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -185,3 +186,19 @@
     assert!(calls[..3].iter().all(|c| c.target == "/api/targets"), "{calls:?}");
     assert_eq!([calls[0].connection, calls[1].connection, calls[2].connection], [1, 2, 3]);
 }
+
+/// A discovery that is late with every answer is heard by the answer to the first call, and goes on being asked on that connection.
+/// Guards against review case 7: connections were given up shortly before their answers came.
+#[test]
+fn an_answer_that_is_late_is_taken_on_the_connection_of_its_call() {
+    let late = Duration::from_millis(1500);
+    let usual = |discovery: &mut Discovery, address| discovery.move_to(address, Times::default());
+    let old = Script::start(vec![], None).unwrap();
+    let new = Script::start(vec![], Some((8, vec![entry("a", "leaving")]))).unwrap();
+    new.answer_late(late);
+    let (lists, took) = told(&old, 8, |discovery| usual(discovery, new.address));
+    println!("late by {late:?}: heard after {took:?}");
+    assert_eq!(states(&lists[0]), [("a", TargetState::Leaving)]);
+    let first_calls = new.calls().iter().filter(|call| call.target == "/api/targets").count();
+    assert!(first_calls <= MOST_CONNECTIONS, "{:?}", new.calls());
+}
--- a/crates/scale/src/control/simulated.rs
+++ b/crates/scale/src/control/simulated.rs
@@ -30,10 +30,13 @@
         let mut watch = Watch::new(now, Times::default(), Some(1), own);
         loop {
             now = now.max(watch.due());
-            let call = match watch.turn(now) {
-                None | Some(Order::GiveUp) => continue,
-                Some(Order::Connect) => watch.connected(now),
-                Some(Order::Call(call)) => call,
+            let (id, call) = match watch.turn(now) {
+                None | Some(Order::Overdue(_) | Order::Close(_)) => continue,
+                Some(Order::Connect(id)) => match watch.connected(id, now) {
+                    Some(call) => (id, call),
+                    None => continue,
+                },
+                Some(Order::Call(id, call)) => (id, call),
             };
             if now >= silent && now < heals {
                 attempts += 1;
@@ -43,16 +46,14 @@
             // A call that is out as it heals was made to a connection that is gone.
             if now >= heals {
                 now += ANSWERS_IN;
-                watch.begun(now);
-                watch.answered(now, Heard { rev: 2, tells: true, closes: false });
+                watch.answered(id, now, Heard { rev: 2, tells: true, closes: false });
                 times.push(Duration::from_micros(now - heals));
                 break;
             }
             let answered = now + call.wait.max(ANSWERS_IN);
             if answered < silent {
                 now = answered;
-                watch.begun(now);
-                watch.answered(now, Heard { rev: 1, tells: false, closes: false });
+                watch.answered(id, now, Heard { rev: 1, tells: false, closes: false });
             }
         }
     }
--- a/crates/watch/src/lib.rs
+++ b/crates/watch/src/lib.rs
@@ -7,10 +7,12 @@
 //!
 //! Nothing here reads a clock or does I/O: times are handed in, chance comes from a seed.
 
+mod connections;
 mod ledger;
 mod state;
 mod times;
 
+pub use connections::{ConnectionId, MOST_CONNECTIONS};
 pub use ledger::{HOLD, Ledger};
 pub use state::{Call, Fault, Heard, Order, State, Watch};
-pub use times::Times;
+pub use times::{ANSWER_DELAY, Times};
--- a/crates/watch/src/state.rs
+++ b/crates/watch/src/state.rs
@@ -2,22 +2,23 @@
 //!
 //! | state | entered | left | bound |
 //! | --- | --- | --- | --- |
-//! | resting | at the start; when a connection ended or was given up | time | `back_off.1`, or `paced`; after an answer `idle_gap` |
-//! | asking | a rest is over: a connection is made and its first call goes out | first byte of the answer; failure | `attempt`; `patient` for every other one after ten failures |
-//! | waiting | a further call goes out on a connection that has answered | first byte of the answer; failure | the call's wait and `late` |
-//! | reading | an answer has begun | its last byte; failure | `rest` after a call with the long wait, else what is left of the state before |
+//! | resting | at the start; when a connection ended or its call is overdue | time; an overdue answer | `back_off.1`, or `paced`; after an answer `idle_gap` |
+//! | asking | a rest is over: a connection is made and its first call goes out | a whole answer; failure | `attempt`; `outage_attempt` after ten failures |
+//! | waiting | a further call goes out on a connection that has answered | a whole answer; failure | the call's wait, the last answer's lateness and `late`; no later than `stale` |
 //! | pausing | an answer is whole and its connection goes on | time | `gap`, or `idle_gap` |
 //!
-//! Every bound that passes in asking, waiting or reading is silence: the connection is given up and the next attempt is
-//! on a new one.
+//! The states are those of the newest connection. Where the bound of asking or waiting passes, its call is overdue: discovery may be
+//! silent or only slow, and nothing tells which. So the next attempt goes over a new connection, and the overdue call is listened
+//! to for as long as the protocol lets discovery be late. Whichever connection answers first takes the further calls; what the
+//! others still say is taken where it is newer, and they are closed with it.
 //!
-//! A call may wait long only on a connection that has just been proved alive: by an answer in good time that told nothing
-//! new. News may have been on its way for as long as its call was out, so the call after it waits shortly. An answer that is
-//! late proves nothing: what it says is taken, and the next call goes over a new connection.
+//! An answer that tells nothing new when the wait is over, however late, shows that the list was current when the wait was over.
+//! Any other one shows it for the moment of its call. `stale` counts from there.
 //!
 //! All watches of a fleet hear of a change, or of a discovery that is back, in one moment. So that they do not call in one
 //! moment for ever after, the first long wait after a short one is drawn between the two.
 
+use crate::connections::{ConnectionId, Connections, Outstanding};
 use crate::times::Times;
 use plover_model::time::Micros;
 
@@ -37,17 +38,12 @@
     },
     /// A new connection, whose first answer has not begun.
     Asking {
-        /// Its silence is believed then.
+        /// Its call is overdue then.
         until: Micros,
     },
     /// A call is out on a connection that has answered before.
     Waiting {
-        /// Its silence is believed then.
-        until: Micros,
-    },
-    /// An answer has begun.
-    Reading {
-        /// It must be whole by then.
+        /// It is overdue then.
         until: Micros,
     },
     /// Between two calls on one connection.
@@ -66,15 +62,18 @@
     pub wait: Micros,
 }
 
-/// What is to be done.
+/// What is to be done. After each order and each event, a connection that the watch no longer holds ([`Watch::holds`]) is to be
+/// closed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Order {
     /// Make a new connection, and say so with [`Watch::connected`].
-    Connect,
+    Connect(ConnectionId),
     /// Send this call on the connection.
-    Call(Call),
-    /// It is silent: give the connection up.
-    GiveUp,
+    Call(ConnectionId, Call),
+    /// Nothing: its call is overdue and goes on being listened to.
+    Overdue(ConnectionId),
+    /// Close it: its call was not answered in all the time that the protocol gives.
+    Close(ConnectionId),
 }
 
 /// A whole answer.
@@ -104,14 +103,24 @@
 pub struct Watch {
     times: Times,
     state: State,
+    connections: Connections,
+    /// The connection of the state; `None`: it rests.
+    newest: Option<ConnectionId>,
+    /// The version of the list that was told last.
     index: Option<u64>,
-    /// When the last call went out.
-    called: Micros,
-    /// Its wait.
+    /// Whether the next call asks for the whole list.
+    wants_whole: bool,
+    /// The list is known to have been current until then.
+    current_until: Micros,
+    /// How much later than at the end of its wait the last answer came.
+    lateness: Micros,
+    /// When the last attempt began or the last call went out.
+    last_step: Micros,
+    /// The wait of the last call that was answered.
     wait: Micros,
-    /// Since the last answer in good time.
+    /// Since the last answer.
     failures: u32,
-    /// Whether the last connection was proved alive by its last answer.
+    /// Whether the last answer came over a connection that may take a call with the long wait.
     proven: bool,
     /// Whether the last connection has answered at all.
     answered: bool,
@@ -129,8 +138,13 @@
         Watch {
             times,
             state: State::Resting { until: now, goes_on: false },
+            connections: Connections::default(),
+            newest: None,
             index,
-            called: now,
+            wants_whole: index.is_none(),
+            current_until: now,
+            lateness: 0,
+            last_step: now,
             wait: 0,
             failures: 0,
             proven: false,
@@ -152,48 +166,79 @@
         self.state
     }
 
+    /// Whether this connection is to stay open.
+    pub fn holds(&self, id: ConnectionId) -> bool {
+        self.connections.holds(id)
+    }
+
     /// When there is something to do if nothing comes before.
     pub fn due(&self) -> Micros {
+        self.state_due().min(self.connections.next_expiry())
+    }
+
+    fn state_due(&self) -> Micros {
         match self.state {
-            State::Resting { until, .. }
-            | State::Asking { until }
-            | State::Waiting { until }
-            | State::Reading { until }
-            | State::Pausing { until } => until,
+            State::Resting { until, .. } | State::Asking { until } | State::Pausing { until } => until,
+            State::Waiting { until } => until.min(self.current_until + self.times.stale),
         }
     }
 
     /// What is to be done now, if anything.
     pub fn turn(&mut self, now: Micros) -> Option<Order> {
-        if now < self.due() {
-            return None;
+        if now >= self.state_due() {
+            return Some(self.state_turn(now));
         }
-        match self.state {
-            State::Resting { .. } => {
-                (self.proven, self.answered, self.fresh) = (false, false, false);
-                self.state = State::Asking { until: now + self.times.attempt_after(self.failures) };
-                Some(Order::Connect)
-            }
-            State::Pausing { .. } => {
-                let wait = match (self.proven, self.wait <= self.times.first_wait) {
-                    (false, _) => self.times.first_wait,
-                    (true, false) => self.times.wait,
-                    (true, true) => self.parted(),
-                };
-                let call = self.call(now, wait);
-                self.state = State::Waiting { until: now + call.wait + self.times.late };
-                Some(Order::Call(call))
-            }
-            State::Asking { .. } | State::Waiting { .. } | State::Reading { .. } => {
+        self.connections.expire(now).map(Order::Close)
+    }
+
+    fn state_turn(&mut self, now: Micros) -> Order {
+        match (self.state, self.newest) {
+            (State::Pausing { .. }, Some(id)) => Order::Call(id, self.further_call(id, now)),
+            (State::Asking { .. } | State::Waiting { .. }, Some(id)) => {
                 self.fail(now);
-                Some(Order::GiveUp)
+                Order::Overdue(id)
             }
+            _ => Order::Connect(self.connect(now)),
+        }
+    }
+
+    fn connect(&mut self, now: Micros) -> ConnectionId {
+        (self.proven, self.answered, self.fresh) = (false, false, false);
+        self.last_step = now;
+        let id = self.connections.open(now + self.times.taken_after(self.failures));
+        self.newest = Some(id);
+        self.state = State::Asking { until: now + self.times.attempt_after(self.failures) };
+        id
+    }
+
+    fn further_call(&mut self, id: ConnectionId, now: Micros) -> Call {
+        let long = self.times.wait_for(self.lateness);
+        let wait = match (self.proven, self.wait <= self.times.first_wait) {
+            (false, _) => self.times.first_wait,
+            (true, false) => long,
+            (true, true) => self.parted(long),
+        };
+        let call = self.call(id, now, wait);
+        let answered_by = now + call.wait + self.lateness;
+        self.state = State::Waiting { until: answered_by + self.times.late };
+        if let Some(open) = self.connections.get_mut(id) {
+            open.closes_at = now + call.wait + self.times.grace;
         }
+        call
     }
 
-    /// The connection is there: its first call.
-    pub fn connected(&mut self, now: Micros) -> Call {
-        self.call(now, self.times.first_wait)
+    /// The connection is there: its first call. `None`: it came up too late, and is to be closed.
+    pub fn connected(&mut self, id: ConnectionId, now: Micros) -> Option<Call> {
+        if self.newest != Some(id) {
+            self.connections.close(id);
+            return None;
+        }
+        Some(self.call(id, now, self.times.first_wait))
+    }
+
+    /// Whether an attempt is due for which the fleet's pace has to have room.
+    pub fn attempt_due(&self, now: Micros) -> bool {
+        matches!(self.state, State::Resting { until, goes_on: false } if until <= now)
     }
 
     /// The fleet has no room for an attempt before `next`. True: there is to be none yet. Only the process's first one is put
@@ -211,72 +256,117 @@
         now < until
     }
 
-    /// The first byte of an answer has come: what comes byte by byte is not waited for as a call is.
-    pub fn begun(&mut self, now: Micros) {
-        match self.state {
-            State::Waiting { .. } if self.proven => {
-                self.state = State::Reading { until: now + self.times.rest };
-            }
-            State::Asking { until } | State::Waiting { until } => self.state = State::Reading { until },
-            _ => {}
+    /// An answer is whole. False: it is older than what has been told since its call, and is not to be taken.
+    pub fn answered(&mut self, id: ConnectionId, now: Micros, heard: Heard) -> bool {
+        let Some(open) = self.connections.close(id) else { return false };
+        let Some(outstanding) = open.outstanding else { return false };
+        let older = self.index.is_some_and(|index| heard.rev < index);
+        if open.superseded && (older || self.index == Some(heard.rev) && heard.tells) {
+            return false;
+        }
+        let changed = heard.tells && (self.wants_whole || self.index != Some(heard.rev));
+        let news = changed && (self.wants_whole || !older);
+        self.learn(now, heard, outstanding, changed);
+        if older {
+            // Versions began anew: what is still on its way may be of those before.
+            self.connections.close_all();
         }
+        if !open.superseded {
+            self.go_on(id, now, heard, outstanding, news, changed);
+        }
+        true
     }
 
-    /// An answer is whole.
-    pub fn answered(&mut self, now: Micros, heard: Heard) {
-        let took = now - self.called;
-        let news = heard.tells && self.index.is_none_or(|index| heard.rev > index);
-        let changed = heard.tells && self.index != Some(heard.rev);
-        let in_time = took <= self.wait + self.times.prompt;
-        // One that holds no call for long is not to be asked shortly for ever.
-        let held = !self.proven || took + self.times.gap >= self.wait;
-        let gap = match (news, took < self.wait / 2) {
-            // What changes within 200 ms of an answer counts as told: also one that was slow is asked again before that.
-            (false, early) if early || !in_time && !self.proven => self.times.idle_gap,
-            _ => self.times.gap,
-        };
-        // After a late one all attempts are as they were: one that was heard for an attempt's patience is so again.
-        if in_time {
-            self.failures = 0;
+    /// What an answer shows of discovery and of the list.
+    fn learn(&mut self, now: Micros, heard: Heard, outstanding: Outstanding, changed: bool) {
+        let Outstanding { call, at } = outstanding;
+        let wait_over = at + call.wait;
+        let held = now + self.times.gap >= wait_over;
+        let current_until = if changed || !held { at } else { wait_over };
+        self.current_until = self.current_until.max(current_until);
+        if now >= wait_over {
+            self.lateness = (now - wait_over).min(self.times.grace);
+        }
+        if call.index.is_none() {
+            self.wants_whole = false;
         }
-        self.proven = in_time && held && !changed;
-        (self.answered, self.unreadable) = (true, 0);
         self.index = Some(heard.rev);
-        let until = now.max(self.called + gap);
-        self.state = if heard.closes || !in_time {
+        (self.failures, self.unreadable) = (0, 0);
+    }
+
+    /// The connection that has answered takes the further calls, unless it ends.
+    fn go_on(
+        &mut self,
+        id: ConnectionId,
+        now: Micros,
+        heard: Heard,
+        outstanding: Outstanding,
+        news: bool,
+        changed: bool,
+    ) {
+        let Outstanding { call, at } = outstanding;
+        let took = now - at;
+        let in_time = took <= call.wait + self.times.prompt;
+        // One that holds no call for long is not to be asked shortly for ever.
+        let held = !self.proven || took + self.times.gap >= call.wait;
+        let early = took < call.wait / 2;
+        let idle = !news && (early || !in_time && !self.proven);
+        let gap = if idle { self.times.idle_gap } else { self.times.gap };
+        let until = now.max(at + gap).max(self.last_step + self.times.gap);
+        self.connections.supersede_all();
+        self.proven = held && !changed;
+        (self.answered, self.wait) = (true, call.wait);
+        if heard.closes {
+            self.newest = None;
             self.rested = now;
-            State::Resting { until, goes_on: true }
+            self.state = State::Resting { until, goes_on: true };
         } else {
-            State::Pausing { until }
-        };
+            self.newest = Some(id);
+            self.connections.keep(id);
+            self.state = State::Pausing { until };
+        }
     }
 
-    /// The attempt or the call has failed.
-    pub fn failed(&mut self, now: Micros, fault: Fault) {
+    /// The attempt or the call on this connection has failed, and the connection has ended.
+    pub fn failed(&mut self, id: ConnectionId, now: Micros, fault: Fault) {
+        let Some(open) = self.connections.close(id) else { return };
+        if !open.superseded {
+            self.note_fault(fault);
+        }
+        if self.newest == Some(id) {
+            self.fail(now);
+        }
+    }
+
+    fn note_fault(&mut self, fault: Fault) {
         match fault {
             // It may not know our version, as after a loss of its own data. That it has no time says nothing of the kind.
-            Fault::Status(400..=428 | 430..=499) => self.index = None,
+            Fault::Status(400..=428 | 430..=499) => self.wants_whole = true,
             Fault::Unreadable => {
                 self.unreadable += 1;
                 if self.unreadable >= UNREADABLE {
-                    (self.index, self.unreadable) = (None, 0);
+                    (self.wants_whole, self.unreadable) = (true, 0);
                 }
             }
             Fault::Broken | Fault::Status(_) => {}
         }
-        self.fail(now);
     }
 
     /// The next call asks for the whole list.
     pub fn want_whole(&mut self) {
-        self.index = None;
+        self.wants_whole = true;
     }
 
-    fn call(&mut self, now: Micros, wait: Micros) -> Call {
+    fn call(&mut self, id: ConnectionId, now: Micros, wait: Micros) -> Call {
+        let index = if self.wants_whole { None } else { self.index };
         // Nobody waits for the whole list.
-        let wait = if self.index.is_some() { wait } else { 0 };
-        (self.called, self.wait) = (now, wait);
-        Call { index: self.index, wait }
+        let wait = if index.is_some() { wait } else { 0 };
+        let call = Call { index, wait };
+        self.last_step = now;
+        if let Some(open) = self.connections.get_mut(id) {
+            open.outstanding = Some(Outstanding { call, at: now });
+        }
+        call
     }
 
     fn fail(&mut self, now: Micros) {
@@ -285,14 +375,15 @@
         self.failures = self.failures.saturating_add(1);
         // Between half and the whole of it: brokers that lost one discovery together do not come back together.
         let rest = step - self.draw() % (step / 2 + 1);
+        self.newest = None;
         self.rested = now;
         self.state = State::Resting { until: now + rest, goes_on: false };
     }
 
     /// The first long wait after a short one, anywhere between the two. A change is told to all watches of a fleet in one
     /// moment: with the same wait they would call in one moment from then on.
-    fn parted(&mut self) -> Micros {
-        let (short, long) = (self.times.first_wait, self.times.wait);
+    fn parted(&mut self, long: Micros) -> Micros {
+        let short = self.times.first_wait;
         long - self.draw() % (long.saturating_sub(short) + 1)
     }
 
