HTTP/2: a turn reads a bounded part of what a connection has sent

Callers saw: while HTTP/2 connections had megabytes of short header fields unread, clients of HTTP/1.1 were not served for seconds, and then refused.

Cause: the library reads and decodes for as long as its socket has bytes, within one poll. Evidence: six stacks taken in the stall are all in poll_accept of one connection.

Change: the socket hands out 8 KiB and then nothing, once, with a wake.

The test before the fix: a_turn_reads_a_bounded_part_of_what_is_there panicked at 'assertion failed: 32768 bytes in one turn'.

--- a/crates/broker/src/front/http2/io.rs
+++ b/crates/broker/src/front/http2/io.rs
@@ -9,7 +9,7 @@
 use std::net::TcpStream;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 /// The guard of a connection, and what it found.
@@ -35,6 +35,10 @@
     }
 }
 
+/// Bytes that one connection reads before all others have their turn. A client whose bytes are always there would else keep
+/// the one thread: the library reads for as long as there is something.
+pub(super) const READ_IN_A_TURN: usize = 8 * 1024;
+
 /// A socket whose bytes pass the guard. From a violation on nothing more is read: the connection is to end.
 pub(super) struct Watched {
     stream: Rc<Async<TcpStream>>,
@@ -42,6 +46,8 @@
     ahead: Vec<u8>,
     watch: SharedWatch,
     clock: Clock,
+    /// Bytes that may still be read in this turn.
+    left: usize,
 }
 
 impl Watched {
@@ -51,7 +57,7 @@
         watch: SharedWatch,
         clock: Clock,
     ) -> Self {
-        Watched { stream, ahead, watch, clock }
+        Watched { stream, ahead, watch, clock, left: READ_IN_A_TURN }
     }
 
     /// Shows the guard what comes. False: it must go no further.
@@ -73,14 +79,7 @@
         if self.watch.borrow().violation.is_some() {
             return Poll::Pending;
         }
-        let n = if self.ahead.is_empty() {
-            let into = buf.initialize_unfilled();
-            let n = ready!(Pin::new(&mut &*self.stream).poll_read(cx, into))?;
-            if !self.passes(&into[..n]) {
-                return Poll::Pending;
-            }
-            n
-        } else {
+        if !self.ahead.is_empty() {
             let n = self.ahead.len().min(buf.remaining());
             let ahead: Vec<u8> = self.ahead.drain(..n).collect();
             if !self.passes(&ahead) {
@@ -88,7 +87,25 @@
             }
             buf.put_slice(&ahead);
             return Poll::Ready(Ok(()));
+        }
+        if self.left == 0 {
+            self.left = READ_IN_A_TURN;
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        let most = self.left.min(buf.remaining());
+        let into = buf.initialize_unfilled_to(most);
+        let n = match Pin::new(&mut &*self.stream).poll_read(cx, into) {
+            Poll::Ready(read) => read?,
+            Poll::Pending => {
+                self.left = READ_IN_A_TURN;
+                return Poll::Pending;
+            }
         };
+        if !self.passes(&into[..n]) {
+            return Poll::Pending;
+        }
+        self.left -= n;
         buf.advance(n);
         Poll::Ready(Ok(()))
     }
--- a/crates/broker/src/front/http2/mod.rs
+++ b/crates/broker/src/front/http2/mod.rs
@@ -4,6 +4,8 @@
 
 mod io;
 mod stream;
+#[cfg(test)]
+mod tests;
 
 use super::accept::Serve;
 use super::seats::{JUST_COME, Rank, Seat, Seats, Spare};
