Queries: an id that may have run stays in use until its client's time is up

Callers saw: in a class that runs at most once, a request without a key whose client had left ran a second time when its id came again, at the same process or at the successor in an upgrade.

Cause: an id was free as soon as its query had ended.

What is told to other processes is in a module of its own.

The test before the fix: an_id_whose_client_has_gone_does_not_run_again_ where_repeats_take_effect panicked at 'assertion `left == right` failed: class 0, sent true: Ok(101)'.

--- a/crates/broker/src/queries.rs
+++ b/crates/broker/src/queries.rs
@@ -1,13 +1,17 @@
 //! The open queries: their clients and owners, the values received for them, and the attempts that may be
 //! sent for them.
 
+mod messages;
+mod request_ids;
+
 use crate::inbox::{Client, Presence};
 use crate::upstream::{DispatchedAttempt, EndedAttempt};
 use brookbend::api::{Semantics, Settings};
+use messages::{id_kept, key_message, query_opened};
 use plover_admission::{CapacityShares, ConnectionId};
 use plover_core::{Dispatch, Query};
 use plover_frames::PartId;
-use plover_handover::wire::{KeyOwner, Message};
+use plover_handover::wire::Message;
 use plover_handover::{KeyedSend, Siblings};
 use plover_limits::{Permit, QueryLimiter};
 use plover_model::query::{AttemptId, LimitScope, Names, Proof, QueryId, QueryRequest, Rate, Reply};
@@ -15,7 +19,8 @@
 use plover_model::time::{Micros, millis};
 use plover_ops::{ClassCounter, Counters, Gauges, QueryResult};
 use plover_repeats::{IdempotencyKey, KeyEvent, KeyRegister, Verdict};
-use std::collections::{BTreeMap, BTreeSet};
+use request_ids::RequestIds;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use tracing::{Span, debug, debug_span, info, warn};
 
@@ -26,6 +31,8 @@
 struct PendingQuery {
     class_counter: ClassCounter,
     connection: ConnectionId,
+    /// When its client's time is up.
+    deadline: Micros,
     permit: Permit,
     request: QueryRequest,
     /// The idempotency key, and the time for which data servers drop repeats of its parts; `None` in a class
@@ -88,32 +95,6 @@
     }
 }
 
-fn query_opened(request: &QueryRequest, permit: &Permit) -> Message {
-    let owner = permit.owner().map(|owner| owner.as_ref().to_owned());
-    Message::Opened { id: request.id.as_ref().to_owned(), units: units(request) as u32, owner }
-}
-
-fn key_owner(key: &IdempotencyKey, window: Option<Micros>) -> KeyOwner {
-    KeyOwner { owner: key.owner.as_ref().to_owned(), window }
-}
-
-/// Converts an event of a key to a message for other processes of this broker. `origin` is the machine's
-/// clock at zero of the broker's clock.
-fn key_message(of: &IdempotencyKey, window: Option<Micros>, event: KeyEvent, origin: Micros) -> Message {
-    let (key, key_owner) = (of.text.as_ref().to_owned(), key_owner(of, window));
-    match event {
-        KeyEvent::Opened { until } => Message::KeyOpened { key, until: origin + until, key_owner },
-        KeyEvent::Sent { shard, at, until } => {
-            let (shard, at, until) = (shard as u32, origin + at, origin + until);
-            Message::KeySent { key, shard, at, until, key_owner }
-        }
-        KeyEvent::Ended { shard, at, proof } => {
-            Message::KeyEnded { key, shard: shard as u32, at: origin + at, proof, key_owner }
-        }
-        KeyEvent::Closed { answered } => Message::KeyClosed { key, at: origin, answered, key_owner },
-    }
-}
-
 /// The other processes of this broker; `None` if the handover is switched off.
 #[derive(Clone, Copy)]
 pub(crate) struct OtherProcesses<'a>(pub(crate) Option<&'a Siblings>);
@@ -149,8 +130,7 @@
 /// All open queries.
 pub(crate) struct Queries {
     pending: BTreeMap<QueryId, PendingQuery>,
-    /// Ids of the open requests, by which data servers know their parts.
-    ids: BTreeSet<Rc<str>>,
+    ids: RequestIds,
     shares: CapacityShares,
     key_register: KeyRegister,
     /// The window of each class, by class index: see [`windows`].
@@ -190,7 +170,7 @@
         key_register.allow_hedging(settings.hedging);
         Queries {
             pending: BTreeMap::new(),
-            ids: BTreeSet::new(),
+            ids: RequestIds::default(),
             shares: CapacityShares::new(capacity),
             key_register,
             windows: windows(settings),
@@ -220,6 +200,7 @@
     pub(crate) fn all_updates(&self, now: Micros) -> Vec<Message> {
         let mut messages: Vec<Message> =
             self.pending.values().map(|p| query_opened(&p.request, &p.permit)).collect();
+        messages.extend(self.ids.ended().map(|id| id_kept(id)));
         self.key_register
             .replay(|key, window, event| messages.push(key_message(key, window, event, self.origin)));
         let tenant_name = |tenant: usize| self.names.tenants.get(tenant).cloned().unwrap_or_default();
@@ -386,6 +367,7 @@
         client: Client,
         siblings: OtherProcesses<'_>,
     ) -> Option<Query> {
+        self.release_ids(now);
         let class_counter = self.class_counters[request.class];
         let keyed = self.key_of(&request);
         let counters = &mut self.counters;
@@ -465,13 +447,14 @@
                 keyed.iter().map(|(key, window)| key_message(key, Some(*window), event, self.origin)),
             );
         }
-        self.ids.insert(request.id.clone());
+        self.ids.open(request.id.clone());
         let values = vec![None; request.parts.len()];
         self.counters.count_accepted(class_counter);
         let (any_sent, omitted_weight) = (false, 0.0);
         let pending = PendingQuery {
             class_counter,
             connection,
+            deadline,
             permit,
             request,
             key: keyed,
@@ -487,8 +470,37 @@
 
     /// Ends a query whose client has gone. Does nothing if the query has already ended.
     pub(crate) fn client_gone(&mut self, now: Micros, query: QueryId) {
-        if let Some(pending) = self.close(now, query, QueryResult::Aborted) {
-            pending.span.in_scope(|| debug!(name: "query_gone", query));
+        let Some(pending) = self.close(now, query, QueryResult::Aborted) else { return };
+        pending.span.in_scope(|| debug!(name: "query_gone", query));
+    }
+
+    /// Whether a part of this query may have run, and must not run again for another request with its id. Repeats of a request with a
+    /// key are the key register's matter.
+    fn must_not_run_again(&self, pending: &PendingQuery) -> bool {
+        let repeats_take_effect = self.windows.get(pending.request.class).is_some_and(Option::is_some);
+        pending.any_sent && pending.key.is_none() && repeats_take_effect
+    }
+
+    /// Keeps an id in use, here and at the other processes of this broker.
+    fn keep_id(&mut self, id: Rc<str>, until: Micros) {
+        if let Some(messages) = &mut self.messages {
+            messages.push(id_kept(&id));
+        }
+        if let Some(released) = self.ids.keep_ended(id, until) {
+            self.report_released(&released);
+        }
+    }
+
+    /// Releases the ids of ended requests whose clients' time is up.
+    fn release_ids(&mut self, now: Micros) {
+        while let Some(released) = self.ids.release(now) {
+            self.report_released(&released);
+        }
+    }
+
+    fn report_released(&mut self, id: &str) {
+        if let Some(messages) = &mut self.messages {
+            messages.push(Message::Closed { id: id.to_owned() });
         }
     }
 
@@ -518,7 +530,10 @@
             };
             messages.extend(pending.key.as_ref().map(closed));
         }
-        self.ids.remove(&pending.request.id);
+        self.ids.close(&pending.request.id);
+        if end != QueryResult::Declined && self.must_not_run_again(&pending) {
+            self.keep_id(pending.request.id.clone(), pending.deadline);
+        }
         self.shares.release(pending.connection, pending.units());
         if let Some((key, _)) = &pending.key {
             self.key_register.close(now, key, end == QueryResult::Succeeded);
--- a/crates/broker/src/queries/tests.rs
+++ b/crates/broker/src/queries/tests.rs
@@ -24,13 +24,25 @@
 
 /// Admits a query of one part with a key. Returns its id, or the reply that it was answered with at once.
 fn admit(queries: &mut Queries, now: Micros, id: QueryId, class: usize, key: &str) -> Result<QueryId, Reply> {
+    admit_as(queries, now, id, &format!("r{id}"), class, Some(key))
+}
+
+/// The same with a request id, and perhaps without a key.
+fn admit_as(
+    queries: &mut Queries,
+    now: Micros,
+    id: QueryId,
+    request_id: &str,
+    class: usize,
+    key: Option<&str>,
+) -> Result<QueryId, Reply> {
     let request = QueryRequest {
-        id: format!("r{id}").into(),
+        id: request_id.into(),
         class,
         tenant: 0,
         client_timeout: SECOND,
         is_retry: false,
-        idempotency_key: Some(key.into()),
+        idempotency_key: key.map(Into::into),
         parts: vec![PartSpec { shard: 0, weight: 1.0, work_hint: None }],
         predicate: "t".into(),
         limits: Default::default(),
@@ -103,3 +115,51 @@
         "the class has a window again, and the query with this key is open"
     );
 }
+
+/// Guards against the operators' picture (c): an id that came again after its client had left ran a second time.
+#[test]
+fn an_id_whose_client_has_gone_does_not_run_again_where_repeats_take_effect() {
+    let mut q = queries(&settings(|s| s.classes[0].semantics = Semantics::Unsafe));
+    q.record_updates(true);
+    let cases =
+        [(0, true, false, false), (0, true, true, false), (0, false, false, true), (2, true, false, true)];
+    for (number, (class, sent, answered, free)) in (0u64..).zip(cases) {
+        let id: QueryId = 10 * number;
+        let request = format!("again{id}");
+        let first = admit_as(&mut q, 0, id, &request, class, None).unwrap();
+        if sent {
+            send(&mut q, 0, first, 0).unwrap();
+        }
+        q.take_updates();
+        if answered {
+            q.finish(10, first, |_| Reply::Failed);
+        } else {
+            q.client_gone(10, first);
+        }
+        let again = admit_as(&mut q, 20, id + 100, &request, class, None);
+        assert_eq!(again.is_ok(), free, "case {number}: {again:?}");
+        if free {
+            continue;
+        }
+        let kept =
+            |message: &Message| matches!(message, Message::Opened { id, units: 0, .. } if *id == request);
+        assert!(q.take_updates().iter().any(kept), "the other processes are told");
+        assert!(q.all_updates(30).iter().any(kept), "and one that joins later");
+        // Its client's time is up.
+        assert!(admit_as(&mut q, SECOND, id + 200, &request, class, None).is_ok());
+        let released = |message: &Message| matches!(message, Message::Closed { id } if *id == request);
+        assert!(q.take_updates().iter().any(released));
+    }
+}
+
+/// However many clients leave, what is kept of them is bounded.
+#[test]
+fn the_ids_of_clients_that_have_gone_are_bounded() {
+    let mut ids = RequestIds::default();
+    let released = (0..2 * request_ids::MAX_ENDED)
+        .filter(|n| ids.keep_ended(format!("id{n}").into(), *n as Micros).is_some())
+        .count();
+    assert_eq!(released, request_ids::MAX_ENDED);
+    assert_eq!(ids.ended().count(), request_ids::MAX_ENDED);
+    assert!(!ids.contains("id0") && ids.contains(&format!("id{}", 2 * request_ids::MAX_ENDED - 1)));
+}
